Add the gateway on sockets round the module

The settings' JSON form moves out of the adapter into settings.rs and is used by both. facade.rs owns the router: admit, pick, report, tick; net/ has the codec, client sessions, the host pool with one attempt, discovery, endings, counters.

--- a/src/bin/emberford-drill/wire.rs
+++ b/src/bin/emberford-drill/wire.rs
@@ -1,5 +1,6 @@
 //! The bench's wire in the library's words and back.
 
+use emberford::settings::{self, Info};
 use emberford::*;
 use serde::Deserialize;
 use serde_json::{json, Value};
@@ -99,99 +100,6 @@
     1.0
 }
 
-#[derive(Deserialize)]
-struct Info {
-    balancers: u32,
-    bounds: Bounds,
-    classes: Vec<WireClass>,
-    family_info: Family,
-    granularity_us: Time,
-    #[serde(default)]
-    membership_mode: String,
-    obligations: Obligations,
-    #[serde(default)]
-    penalties: Penalties,
-    #[serde(default)]
-    reporting: Reporting,
-    #[serde(default)]
-    zone: String,
-}
-
-#[derive(Deserialize)]
-struct Bounds {
-    attempts_cap: u32,
-    #[serde(default)]
-    cancel: bool,
-    #[serde(default)]
-    second_copies: bool,
-    #[serde(default)]
-    probes: bool,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    max_retry_after_us: Time,
-}
-
-#[derive(Deserialize)]
-struct WireClass {
-    name: String,
-    aim_us: Time,
-    deadline_us: Time,
-    #[serde(default)]
-    group: String,
-    idempotency: String,
-    #[serde(default)]
-    window_us: Time,
-    #[serde(default)]
-    late_share: f64,
-    points: f64,
-}
-
-#[derive(Deserialize)]
-struct Family {
-    read_level: Vec<String>,
-    #[serde(default)]
-    staleness_bound_us: Vec<Time>,
-    #[serde(default)]
-    catch_up_wait_us: Time,
-    #[serde(default)]
-    origin_time_us: Time,
-    #[serde(default)]
-    session_marks: String,
-    #[serde(default)]
-    shows_role: String,
-    #[serde(default)]
-    when_behind: String,
-}
-
-#[derive(Deserialize)]
-struct Obligations {
-    answer_slack_us: Time,
-    #[serde(default)]
-    ask_every_us: Time,
-    cold_from: f64,
-    cold_us: Time,
-    drain_grace_us: Time,
-    fall_us: Time,
-    overload_factor: f64,
-    #[serde(default)]
-    soft_removal: bool,
-}
-
-#[derive(Default, Deserialize)]
-struct Penalties {
-    #[serde(default)]
-    cross_zone: f64,
-    #[serde(default)]
-    probe: f64,
-}
-
-#[derive(Default, Deserialize)]
-struct Reporting {
-    #[serde(default)]
-    names: Vec<String>,
-}
-
 struct Instance {
     router: Router,
     classes: BTreeMap<String, usize>,
@@ -236,7 +144,7 @@
             }
             Wire::Configure { prng, info } => {
                 events.clear();
-                self.instances.insert(i, configure(prng, *info)?);
+                self.instances.insert(i, configure(prng, &info)?);
                 return Ok(());
             }
             Wire::Teardown => {
@@ -330,101 +238,16 @@
 }
 
 fn report(known: &Instance, values: Option<Vec<f64>>) -> Report {
-    let mut report = Report::default();
-    for (name, value) in known.reports.iter().zip(values.unwrap_or_default()) {
-        match name.as_str() {
-            "x0" if value > 0.0 => report.position = Some(known.origin.saturating_add((value * 1e6) as Time)),
-            "x1" => report.role = Some(if value >= 0.5 { Role::Primary } else { Role::Replica }),
-            "q" => report.waiting = Some(value),
-            "busy" => report.busy = Some(value),
-            _ => {}
-        }
-    }
-    report
+    let names = known.reports.iter().map(String::as_str);
+    settings::report(known.origin, names.zip(values.unwrap_or_default()))
 }
 
-fn configure(seed: u64, info: Info) -> Result<Instance, String> {
-    let family = &info.family_info;
-    let mut classes = Vec::new();
-    for (place, class) in info.classes.iter().enumerate() {
-        let level = family.read_level.get(place).map(String::as_str);
-        classes.push(Class {
-            name: class.name.clone(),
-            need: match level {
-                Some("mutate") => Need::Write,
-                Some("strong") => Need::Strong,
-                Some("causal") => Need::Session,
-                Some("lag_bound") => {
-                    Need::Bounded(family.staleness_bound_us.get(place).copied().unwrap_or(-1))
-                }
-                Some("eventual") => Need::Eventual,
-                other => {
-                    return Err(format!("read_level: class {:?} has unknown level {other:?}", class.name))
-                }
-            },
-            effect: match class.idempotency.as_str() {
-                "safe" => Effect::Safe,
-                "keyed" => Effect::Keyed {
-                    window: class.window_us,
-                    scope: match class.group.as_str() {
-                        "all" => Scope::All,
-                        "zone" => Scope::Zone,
-                        "cell" => Scope::Group,
-                        other => {
-                            return Err(format!("group: class {:?} has unknown scope {other:?}", class.name))
-                        }
-                    },
-                },
-                "unsafe" => Effect::Unsafe,
-                other => {
-                    return Err(format!("idempotency: class {:?} has unknown effect {other:?}", class.name))
-                }
-            },
-            aim: class.aim_us,
-            deadline: class.deadline_us,
-            worth: class.points,
-            late_share: class.late_share,
-        });
-    }
-    let duties = &info.obligations;
-    let settings = Settings {
-        routers: info.balancers,
-        zone: info.zone.clone(),
-        granularity: info.granularity_us,
-        attempts: info.bounds.attempts_cap,
-        may_call_off: info.bounds.cancel,
-        may_overlap: info.bounds.second_copies,
-        may_probe: info.bounds.probes,
-        list_on_request: info.membership_mode == "on_request",
-        max_wait_hint: if info.bounds.retry_after { info.bounds.max_retry_after_us } else { 0 },
-        answer_slack: duties.answer_slack_us,
-        cold_from: duties.cold_from,
-        cold_for: duties.cold_us,
-        overload_factor: duties.overload_factor,
-        overload_span: duties.fall_us,
-        drain_grace: duties.drain_grace_us,
-        ask_every: duties.ask_every_us,
-        soft_removal: duties.soft_removal,
-        behind: match family.when_behind.as_str() {
-            "off" => Behind::Serve,
-            "bounce" => Behind::Refuse,
-            "await" => Behind::Wait(family.catch_up_wait_us),
-            other => return Err(format!("when_behind: unknown value {other:?}")),
-        },
-        list_role: match family.shows_role.as_str() {
-            "trailing" => ListRole::Trailing,
-            "static" => ListRole::Static,
-            _ => ListRole::Absent,
-        },
-        session_marks_kept: family.session_marks == "kept",
-        crossing_price: info.penalties.cross_zone,
-        probe_price: info.penalties.probe,
-        classes,
-    };
+fn configure(seed: u64, info: &Info) -> Result<Instance, String> {
+    let settings = info.settings()?;
     Ok(Instance {
-        classes: info.classes.iter().enumerate().map(|(place, c)| (c.name.clone(), place)).collect(),
-        origin: family.origin_time_us,
-        reports: info.reporting.names.clone(),
+        classes: settings.classes.iter().enumerate().map(|(place, c)| (c.name.clone(), place)).collect(),
+        origin: info.origin(),
+        reports: info.report_names().to_vec(),
         router: Router::new(settings, seed).map_err(|cause| format!("info: {cause}"))?,
     })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,8 +67,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod facade;
 mod interface;
 mod logic;
+pub mod net;
+pub mod settings;
 mod state;
 
 pub use interface::*;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,128 @@
+//! The gateway: wiring and signals. See the README for what it is and `net` for how it works.
+#![forbid(unsafe_code)]
+
+use emberford::facade::Desk;
+use emberford::net::budget::Budget;
+use emberford::net::clock::Clock;
+use emberford::net::config::Config;
+use emberford::net::counters::Counters;
+use emberford::net::discovery::Follower;
+use emberford::net::front::Front;
+use emberford::net::hosts::Hosts;
+use emberford::Time;
+use std::cell::Cell;
+use std::process::ExitCode;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+/// After SIGTERM clients are accepted for this span: the front learns of it only then (microseconds).
+const LAST_CLIENTS: Time = 450_000;
+/// Between two looks for idle connections that are of no more use, and at what is still open at the end.
+const SWEEP: Time = 500_000;
+const LOOK: Time = 10_000;
+/// Connections that the kernel holds ready.
+const BACKLOG: u32 = 1024;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let ran = Config::read(|name| std::env::var(name).ok()).and_then(|config| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|cause| format!("cannot start: {cause}"))?;
+        tokio::task::LocalSet::new().block_on(&runtime, run(config))
+    });
+    match ran {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(cause) => {
+            eprintln!("petrelgauge: {cause}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+async fn run(config: Config) -> Result<(), String> {
+    let mut settings = config.info.settings().map_err(|cause| format!("settings: {cause}"))?;
+    // The protocol has no probes, and the watch of discovery is always open.
+    settings.may_probe = false;
+    settings.list_on_request = false;
+    let classes = settings.classes.clone();
+    let desk = Desk::new(settings, config.seed).map_err(|cause| format!("settings: {cause}"))?;
+    let clock = Clock::start();
+    let counters = Rc::new(Counters::default());
+    let budget = Budget::new(config.sockets);
+    let (connect, idle) = (config.info.connect_span(), config.info.idle_span());
+    let hosts = Hosts::new(clock, budget.clone(), counters.clone(), connect, idle);
+    let follower = Follower::new(desk.clone(), hosts.clone(), counters.clone(), config.known);
+    let (stop, stopping) = watch::channel(false);
+    let listener = listen(config.listen).map_err(|cause| format!("cannot listen: {cause}"))?;
+    let (mut term, mut interrupt, mut usr1) =
+        (on(SignalKind::terminate())?, on(SignalKind::interrupt())?, on(SignalKind::user_defined1())?);
+
+    spawn_local(follower.follow(config.discovery, clock));
+    spawn_local(keep_time(desk.clone(), clock));
+    spawn_local(keep_clean(hosts.clone(), clock));
+    let front = Rc::new(Front {
+        desk,
+        hosts: hosts.clone(),
+        clock,
+        budget,
+        counters: counters.clone(),
+        classes,
+        stopping,
+        open: Cell::new(0),
+    });
+    let accepting = spawn_local(front.clone().accept(listener));
+    log::info!("{} serves at {}", config.name, config.listen);
+
+    loop {
+        tokio::select! {
+            _ = usr1.recv() => log::info!("{counters}"),
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+        }
+    }
+    log::info!("stopping");
+    clock.sleep_until(clock.now() + LAST_CLIENTS).await;
+    accepting.abort();
+    let _ = accepting.await;
+    let _ = stop.send(true);
+    while front.open.get() > 0 || hosts.out() > 0 {
+        clock.sleep_until(clock.now() + LOOK).await;
+    }
+    log::info!("{counters}");
+    Ok(())
+}
+
+fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // A gateway that starts again finds connections of its last run still winding up.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+fn on(kind: SignalKind) -> Result<Signal, String> {
+    signal(kind).map_err(|cause| format!("cannot listen to signals: {cause}"))
+}
+
+/// Steps the decisions when something came in or a timer is due.
+async fn keep_time(desk: Desk, clock: Clock) {
+    loop {
+        match desk.tick(clock.now()) {
+            Some(at) => tokio::select! {
+                () = clock.sleep_until(at) => {}
+                () = desk.woken() => {}
+            },
+            None => desk.woken().await,
+        }
+    }
+}
+
+async fn keep_clean(hosts: Rc<Hosts>, clock: Clock) {
+    loop {
+        clock.sleep_until(clock.now() + SWEEP).await;
+        hosts.sweep();
+    }
+}
--- /dev/null
+++ b/src/net/counters.rs
@@ -0,0 +1,80 @@
+//! What the gateway took in, sent and answered, printed at exit and on request.
+
+use crate::net::ending::End;
+use std::cell::Cell;
+
+macro_rules! counters {
+    ($($(#[$text:meta])* $name:ident,)*) => {
+        /// Counts since the start.
+        #[derive(Default)]
+        pub struct Counters {
+            $($(#[$text])* pub $name: Count,)*
+            ends: [Count; End::ALL.len()],
+        }
+
+        impl std::fmt::Display for Counters {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                $(write!(f, concat!(stringify!($name), "={} "), self.$name.get())?;)*
+                write!(f, "ends:")?;
+                for (end, count) in End::ALL.iter().zip(&self.ends).filter(|(_, count)| count.get() > 0) {
+                    write!(f, " {end:?}={}", count.get())?;
+                }
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Client connections accepted.
+    clients,
+    /// Requests taken in.
+    requests,
+    /// Of these, served.
+    served,
+    /// Refused.
+    refused,
+    /// Failed.
+    failed,
+    /// Requests whose client left before the answer.
+    left,
+    /// Statements that could not be used.
+    bad_statements,
+    /// Attempts handed out by the decisions.
+    attempts,
+    /// Attempts written whole to a database host.
+    sent,
+    /// Connections opened to database hosts.
+    host_connects,
+    /// Changes of the list.
+    lists,
+    /// News from discovery that could not be used.
+    bad_lists,
+    /// Watches of discovery begun.
+    watches,
+    /// Times that a descriptor had to be freed.
+    sheds,
+}
+
+/// One count.
+#[derive(Default)]
+pub struct Count(Cell<u64>);
+
+impl Count {
+    /// One more.
+    pub fn add(&self) {
+        self.0.set(self.0.get() + 1);
+    }
+
+    /// So many.
+    pub fn get(&self) -> u64 {
+        self.0.get()
+    }
+}
+
+impl Counters {
+    /// A connection or an attempt ended.
+    pub fn ended(&self, end: End) {
+        self.ends[end as usize].add();
+    }
+}
--- /dev/null
+++ b/src/net/ending.rs
@@ -0,0 +1,106 @@
+//! Every way in which a connection, or an attempt on one, can end.
+
+use crate::Ending;
+
+/// How it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum End {
+    /// A database host served the request.
+    Served,
+    /// It answered with an error; there may have been an effect.
+    HostError,
+    /// It turned the request away untouched: not the primary, or too far behind.
+    TurnedAway,
+    /// It turned the request away unseen: queue full, draining, too many connections.
+    Full,
+    /// It refused the connection.
+    ConnectRefused,
+    /// The connection did not come up in time.
+    ConnectSilent,
+    /// The connection broke before the request's last byte was written.
+    BrokenUnsent,
+    /// The connection broke or ended after that.
+    BrokenSent,
+    /// The host's bytes after that made no sense.
+    HostMalformed,
+    /// No answer by the time the attempt was to be given up.
+    NoAnswer,
+    /// The decisions called the attempt off.
+    CalledOff,
+    /// No descriptor was left for a connection.
+    NoDescriptor,
+    /// No address is known for the host.
+    NoAddress,
+    /// Idle too long, or its host moved, started again or left: closed by the gateway.
+    Retired,
+    /// Idle, and closed by the host.
+    HostClosedIdle,
+    /// The client closed its connection, or it broke.
+    ClientLeft,
+    /// The client said goodbye.
+    ClientTerminated,
+    /// The client's bytes made no sense.
+    ClientMalformed,
+    /// The client did not say who it is in time.
+    ClientSilent,
+    /// The client did not take its answer in time.
+    ClientStuck,
+    /// Idle, and closed to make room.
+    ClientShed,
+    /// Idle, and closed since the gateway stops.
+    Stopped,
+}
+
+impl End {
+    /// All of them, in order.
+    pub const ALL: [End; 22] = [
+        End::Served,
+        End::HostError,
+        End::TurnedAway,
+        End::Full,
+        End::ConnectRefused,
+        End::ConnectSilent,
+        End::BrokenUnsent,
+        End::BrokenSent,
+        End::HostMalformed,
+        End::NoAnswer,
+        End::CalledOff,
+        End::NoDescriptor,
+        End::NoAddress,
+        End::Retired,
+        End::HostClosedIdle,
+        End::ClientLeft,
+        End::ClientTerminated,
+        End::ClientMalformed,
+        End::ClientSilent,
+        End::ClientStuck,
+        End::ClientShed,
+        End::Stopped,
+    ];
+
+    /// What the decisions are told of an attempt that ended so.
+    pub fn for_decisions(self) -> Ending {
+        match self {
+            End::Served => Ending::Served,
+            End::HostError => Ending::Error,
+            End::TurnedAway => Ending::TurnedAway,
+            End::Full => Ending::Full,
+            End::ConnectRefused | End::ConnectSilent | End::BrokenUnsent => Ending::Unreached,
+            End::BrokenSent | End::HostMalformed => Ending::Broken,
+            End::NoAnswer => Ending::TimedOut,
+            End::CalledOff => Ending::CalledOff,
+            // Nothing the host did: it must not be blamed for it.
+            End::NoDescriptor | End::NoAddress => Ending::NotSent,
+            // These end connections that carry no attempt.
+            End::Retired
+            | End::HostClosedIdle
+            | End::ClientLeft
+            | End::ClientTerminated
+            | End::ClientMalformed
+            | End::ClientSilent
+            | End::ClientStuck
+            | End::ClientShed
+            | End::Stopped => Ending::NotSent,
+        }
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,13 @@
+//! The gateway on sockets: PostgreSQL clients in front, database hosts behind, discovery beside.
+//! Nothing here decides anything; every decision comes from the [facade](crate::facade).
+
+pub mod budget;
+pub mod clock;
+pub mod config;
+pub mod counters;
+pub mod discovery;
+pub mod ending;
+pub mod front;
+pub mod hosts;
+pub mod pg;
+pub mod statement;
--- /dev/null
+++ b/src/net/pg.rs
@@ -0,0 +1,279 @@
+//! Version 3 of PostgreSQL's wire protocol, for both sides of the gateway: framing, the messages it writes,
+//! and reading what a database host answers.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+/// Longest message taken from either side. A value has 64 KiB at most and twice that as hexadecimal digits.
+pub const MOST: usize = 160 * 1024;
+/// Longest startup message, as PostgreSQL has it.
+const MOST_STARTUP: usize = 10_000;
+
+/// The bytes of a peer make no sense; says why.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+/// One message: its type and all its bytes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Message {
+    /// As it stood on the wire, with its type and length.
+    pub raw: Bytes,
+}
+
+impl Message {
+    /// Its type.
+    pub fn kind(&self) -> u8 {
+        self.raw[0]
+    }
+
+    /// What follows type and length.
+    pub fn body(&self) -> &[u8] {
+        &self.raw[5..]
+    }
+}
+
+/// What a client may open with.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Opening {
+    /// A wish for encryption, SSL's or GSS's.
+    Encryption,
+    /// A cancel request.
+    Cancel,
+    /// The startup message, with the protocol's minor version.
+    Startup {
+        /// Minor version asked for.
+        minor: u16,
+    },
+}
+
+/// Cuts the bytes of a connection into messages.
+#[derive(Debug, Default)]
+pub struct Framer {
+    buffer: BytesMut,
+}
+
+impl Framer {
+    /// The buffer to read into.
+    pub fn buffer(&mut self) -> &mut BytesMut {
+        &mut self.buffer
+    }
+
+    /// Nothing is left over.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// Takes the opening message, if it is there whole.
+    pub fn opening(&mut self) -> Result<Option<Opening>, Malformed> {
+        let Some(length) = self.length_at(0) else { return Ok(None) };
+        if !(8..=MOST_STARTUP).contains(&length) {
+            return Err(Malformed("invalid length of startup packet"));
+        }
+        if self.buffer.len() < length {
+            return Ok(None);
+        }
+        let mut packet = self.buffer.split_to(length);
+        packet.advance(4);
+        match (packet.get_u16(), packet.get_u16()) {
+            (1234, 5679 | 5680) => Ok(Some(Opening::Encryption)),
+            (1234, 5678) => Ok(Some(Opening::Cancel)),
+            (3, _) if packet.last() != Some(&0) => Err(Malformed("invalid startup packet layout")),
+            (3, minor) => Ok(Some(Opening::Startup { minor })),
+            _ => Err(Malformed("unsupported frontend protocol")),
+        }
+    }
+
+    /// Takes the next message, if it is there whole.
+    pub fn message(&mut self) -> Result<Option<Message>, Malformed> {
+        let Some(length) = self.length_at(1) else { return Ok(None) };
+        if !(4..=MOST).contains(&length) {
+            return Err(Malformed("invalid message length"));
+        }
+        if self.buffer.len() < 1 + length {
+            return Ok(None);
+        }
+        Ok(Some(Message { raw: self.buffer.split_to(1 + length).freeze() }))
+    }
+
+    fn length_at(&self, place: usize) -> Option<usize> {
+        let bytes = self.buffer.get(place..place + 4)?;
+        Some(u32::from_be_bytes(bytes.try_into().ok()?) as usize)
+    }
+}
+
+/// Appends one message: its type, its length, and the body that `write` appends.
+pub fn put(out: &mut Vec<u8>, kind: u8, write: impl FnOnce(&mut Vec<u8>)) {
+    out.push(kind);
+    put_sized(out, write);
+}
+
+fn put_sized(out: &mut Vec<u8>, write: impl FnOnce(&mut Vec<u8>)) {
+    let start = out.len();
+    out.extend_from_slice(&[0; 4]);
+    write(out);
+    let length = (out.len() - start) as u32;
+    out[start..start + 4].copy_from_slice(&length.to_be_bytes());
+}
+
+fn put_text(out: &mut Vec<u8>, text: &str) {
+    out.extend_from_slice(text.as_bytes());
+    out.push(0);
+}
+
+/// The startup message of a client.
+pub fn put_startup(out: &mut Vec<u8>) {
+    put_sized(out, |body| {
+        body.extend_from_slice(&196_608u32.to_be_bytes());
+        for text in ["user", "backend", "database", "store", ""] {
+            put_text(body, text);
+        }
+    });
+}
+
+/// The answer to a startup message: admitted, ready.
+pub fn put_welcome(out: &mut Vec<u8>, minor: u16, number: u32) {
+    if minor > 0 {
+        put(out, b'v', |body| body.extend_from_slice(&[0; 8]));
+    }
+    put(out, b'R', |body| body.extend_from_slice(&[0; 4]));
+    let told =
+        [("server_version", "15.0"), ("client_encoding", "UTF8"), ("standard_conforming_strings", "on")];
+    for (name, value) in told {
+        put(out, b'S', |body| {
+            put_text(body, name);
+            put_text(body, value);
+        });
+    }
+    put(out, b'K', |body| {
+        body.extend_from_slice(&number.to_be_bytes());
+        body.extend_from_slice(&[0; 4]);
+    });
+    put_ready(out);
+}
+
+/// ReadyForQuery, outside of a transaction.
+pub fn put_ready(out: &mut Vec<u8>) {
+    put(out, b'Z', |body| body.push(b'I'));
+}
+
+/// EmptyQueryResponse.
+pub fn put_empty(out: &mut Vec<u8>) {
+    put(out, b'I', |_| {});
+}
+
+/// CommandComplete.
+pub fn put_complete(out: &mut Vec<u8>, tag: &str) {
+    put(out, b'C', |body| put_text(body, tag));
+}
+
+/// A simple query, from the statement's bytes.
+pub fn put_query(out: &mut Vec<u8>, statement: &[u8]) {
+    put(out, b'Q', |body| {
+        body.extend_from_slice(statement);
+        body.push(0);
+    });
+}
+
+/// How bad an error is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Severity {
+    /// The command failed.
+    Error,
+    /// The connection ends.
+    Fatal,
+}
+
+/// ErrorResponse.
+pub fn put_error(out: &mut Vec<u8>, severity: Severity, code: &str, text: &str, detail: Option<&str>) {
+    let severity = if severity == Severity::Fatal { "FATAL" } else { "ERROR" };
+    put(out, b'E', |body| {
+        let fields = [(b'S', severity), (b'V', severity), (b'C', code), (b'M', text)];
+        for (field, text) in fields.into_iter().chain(detail.map(|detail| (b'D', detail))) {
+            body.push(field);
+            put_text(body, text);
+        }
+        body.push(0);
+    });
+}
+
+/// The text of a field of an ErrorResponse's body.
+pub fn error_field(body: &[u8], wanted: u8) -> Option<&str> {
+    let mut fields = body.split(|byte| *byte == 0);
+    fields
+        .find(|field| field.first() == Some(&wanted))
+        .and_then(|field| std::str::from_utf8(&field[1..]).ok())
+}
+
+/// Name and value of a ParameterStatus' body.
+pub fn parameter(body: &[u8]) -> Option<(&str, &str)> {
+    let text = std::str::from_utf8(body.strip_suffix(&[0])?).ok()?;
+    text.split_once('\0').filter(|(_, value)| !value.contains('\0'))
+}
+
+/// What a database host answered to a query.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// One row: RowDescription, DataRow and CommandComplete as they stood on the wire.
+    Row(Vec<Bytes>),
+    /// An error, by its code.
+    Error(String),
+}
+
+/// A host's answer with what it says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reply {
+    /// The answer.
+    pub answer: Answer,
+    /// The ParameterStatus messages that came with it.
+    pub told: Vec<(String, String)>,
+    /// The connection may carry another query.
+    pub ready: bool,
+}
+
+/// Most ParameterStatus messages kept of one answer.
+const MOST_TOLD: usize = 16;
+
+/// Puts the messages of a host together to an answer.
+#[derive(Debug, Default)]
+pub struct Gather {
+    row: Vec<Bytes>,
+    error: Option<String>,
+    told: Vec<(String, String)>,
+}
+
+impl Gather {
+    /// Takes a message; the reply is whole at ReadyForQuery.
+    pub fn take(&mut self, message: Message) -> Result<Option<Reply>, Malformed> {
+        match (message.kind(), self.row.len()) {
+            (b'T', 0) | (b'D', 1) | (b'C', 2) if self.error.is_none() => self.row.push(message.raw),
+            (b'E', _) if self.error.is_none() => {
+                let code = error_field(message.body(), b'C').ok_or(Malformed("an error without a code"))?;
+                self.error = Some(code.to_string());
+            }
+            (b'S', _) => {
+                if let (Some((name, value)), true) = (parameter(message.body()), self.told.len() < MOST_TOLD)
+                {
+                    self.told.push((name.to_string(), value.to_string()));
+                }
+            }
+            (b'N', _) => {}
+            (b'Z', _) => return self.reply(true).map(Some).ok_or(Malformed("an answer without a row")),
+            _ => return Err(Malformed("a message out of place")),
+        }
+        Ok(None)
+    }
+
+    /// The connection ended. A host may close after an error without saying that it is ready.
+    pub fn ended(&mut self) -> Option<Reply> {
+        self.error.as_ref()?;
+        self.reply(false)
+    }
+
+    fn reply(&mut self, ready: bool) -> Option<Reply> {
+        let answer = match self.error.take() {
+            Some(code) => Answer::Error(code),
+            None if self.row.len() == 3 => Answer::Row(std::mem::take(&mut self.row)),
+            None => return None,
+        };
+        Some(Reply { answer, told: std::mem::take(&mut self.told), ready })
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,229 @@
+//! The settings of a deployment, from their JSON form to [`Settings`]. The adapter of the drill bench and the
+//! gateway read them here, so that both decide by the same figures.
+
+use crate::interface::*;
+use serde::Deserialize;
+
+/// The settings as the operators write them. Keys that are not known are skipped.
+#[derive(Debug, Deserialize)]
+pub struct Info {
+    balancers: u32,
+    bounds: Bounds,
+    classes: Vec<WireClass>,
+    family_info: Family,
+    granularity_us: Time,
+    #[serde(default)]
+    membership_mode: String,
+    obligations: Obligations,
+    #[serde(default)]
+    penalties: Penalties,
+    #[serde(default)]
+    reporting: Reporting,
+    #[serde(default)]
+    zone: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Bounds {
+    attempts_cap: u32,
+    #[serde(default)]
+    cancel: bool,
+    #[serde(default = "half_minute")]
+    conn_idle_us: Time,
+    #[serde(default = "quarter_second")]
+    connect_timeout_us: Time,
+    #[serde(default)]
+    second_copies: bool,
+    #[serde(default)]
+    probes: bool,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    max_retry_after_us: Time,
+}
+
+fn half_minute() -> Time {
+    30_000_000
+}
+
+fn quarter_second() -> Time {
+    250_000
+}
+
+#[derive(Debug, Deserialize)]
+struct WireClass {
+    name: String,
+    aim_us: Time,
+    deadline_us: Time,
+    #[serde(default)]
+    group: String,
+    idempotency: String,
+    #[serde(default)]
+    window_us: Time,
+    #[serde(default)]
+    late_share: f64,
+    points: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Family {
+    read_level: Vec<String>,
+    #[serde(default)]
+    staleness_bound_us: Vec<Time>,
+    #[serde(default)]
+    catch_up_wait_us: Time,
+    #[serde(default)]
+    origin_time_us: Time,
+    #[serde(default)]
+    session_marks: String,
+    #[serde(default)]
+    shows_role: String,
+    #[serde(default)]
+    when_behind: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Obligations {
+    answer_slack_us: Time,
+    #[serde(default)]
+    ask_every_us: Time,
+    cold_from: f64,
+    cold_us: Time,
+    drain_grace_us: Time,
+    fall_us: Time,
+    overload_factor: f64,
+    #[serde(default)]
+    soft_removal: bool,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Penalties {
+    #[serde(default)]
+    cross_zone: f64,
+    #[serde(default)]
+    probe: f64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Reporting {
+    #[serde(default)]
+    names: Vec<String>,
+}
+
+impl Info {
+    /// The clock time that positions are counted from where they are not Unix times.
+    pub fn origin(&self) -> Time {
+        self.family_info.origin_time_us
+    }
+
+    /// What the values of a load report are called, in their order.
+    pub fn report_names(&self) -> &[String] {
+        &self.reporting.names
+    }
+
+    /// Span in which a connection to a member must come up.
+    pub fn connect_span(&self) -> Time {
+        self.bounds.connect_timeout_us
+    }
+
+    /// Span after which a member closes an idle connection.
+    pub fn idle_span(&self) -> Time {
+        self.bounds.conn_idle_us
+    }
+
+    /// The settings in the words of the decisions. The cause of a failure is one plain sentence.
+    pub fn settings(&self) -> Result<Settings, String> {
+        let family = &self.family_info;
+        let mut classes = Vec::new();
+        for (place, class) in self.classes.iter().enumerate() {
+            classes.push(Class {
+                name: class.name.clone(),
+                need: need(family, place, &class.name)?,
+                effect: effect(class)?,
+                aim: class.aim_us,
+                deadline: class.deadline_us,
+                worth: class.points,
+                late_share: class.late_share,
+            });
+        }
+        let duties = &self.obligations;
+        Ok(Settings {
+            routers: self.balancers,
+            zone: self.zone.clone(),
+            granularity: self.granularity_us,
+            attempts: self.bounds.attempts_cap,
+            may_call_off: self.bounds.cancel,
+            may_overlap: self.bounds.second_copies,
+            may_probe: self.bounds.probes,
+            list_on_request: self.membership_mode == "on_request",
+            max_wait_hint: if self.bounds.retry_after { self.bounds.max_retry_after_us } else { 0 },
+            answer_slack: duties.answer_slack_us,
+            cold_from: duties.cold_from,
+            cold_for: duties.cold_us,
+            overload_factor: duties.overload_factor,
+            overload_span: duties.fall_us,
+            drain_grace: duties.drain_grace_us,
+            ask_every: duties.ask_every_us,
+            soft_removal: duties.soft_removal,
+            behind: match family.when_behind.as_str() {
+                "off" => Behind::Serve,
+                "bounce" => Behind::Refuse,
+                "await" => Behind::Wait(family.catch_up_wait_us),
+                other => return Err(format!("when_behind: unknown value {other:?}")),
+            },
+            list_role: match family.shows_role.as_str() {
+                "trailing" => ListRole::Trailing,
+                "static" => ListRole::Static,
+                _ => ListRole::Absent,
+            },
+            session_marks_kept: family.session_marks == "kept",
+            crossing_price: self.penalties.cross_zone,
+            probe_price: self.penalties.probe,
+            classes,
+        })
+    }
+}
+
+fn need(family: &Family, place: usize, class: &str) -> Result<Need, String> {
+    Ok(match family.read_level.get(place).map(String::as_str) {
+        Some("mutate") => Need::Write,
+        Some("strong") => Need::Strong,
+        Some("causal") => Need::Session,
+        Some("lag_bound") => Need::Bounded(family.staleness_bound_us.get(place).copied().unwrap_or(-1)),
+        Some("eventual") => Need::Eventual,
+        other => return Err(format!("read_level: class {class:?} has unknown level {other:?}")),
+    })
+}
+
+fn effect(class: &WireClass) -> Result<Effect, String> {
+    let name = &class.name;
+    Ok(match class.idempotency.as_str() {
+        "safe" => Effect::Safe,
+        "unsafe" => Effect::Unsafe,
+        "keyed" => Effect::Keyed {
+            window: class.window_us,
+            scope: match class.group.as_str() {
+                "all" => Scope::All,
+                "zone" => Scope::Zone,
+                "cell" => Scope::Group,
+                other => return Err(format!("group: class {name:?} has unknown scope {other:?}")),
+            },
+        },
+        other => return Err(format!("idempotency: class {name:?} has unknown effect {other:?}")),
+    })
+}
+
+/// A load report from its named values; positions in it are seconds after `origin`.
+pub fn report<'a>(origin: Time, values: impl Iterator<Item = (&'a str, f64)>) -> Report {
+    let mut report = Report::default();
+    for (name, value) in values {
+        match name {
+            "x0" if value > 0.0 => report.position = Some(origin.saturating_add((value * 1e6) as Time)),
+            "x1" => report.role = Some(if value >= 0.5 { Role::Primary } else { Role::Replica }),
+            "q" => report.waiting = Some(value),
+            "busy" => report.busy = Some(value),
+            _ => {}
+        }
+    }
+    report
+}
