Guard the gateway's edges: zombie tasks, lingering close, memory, late sends

The gateway now ends its sending and reads on for 0.3 s at most. - The listener was dropped by aborting its task; now what stands in the backlog is accepted first. - Messages read ahead were weighed by their bytes alone; they now count with their place in the queue. A connection that carried a large message kept its buffer; a statement was copied twice on its way to a host. Neither does now. - An attempt whose time was over before it was written was written all the same. - A list row that runs but has no address now leaves the old list in force. - facade.rs: names in plain terms (Facade, Request, Decision, Attempt), and decisions are handed over after the borrow has ended.

--- a/src/facade.rs
+++ b/src/facade.rs
@@ -1,11 +1,11 @@
 //! The decisions in blocking style, for code that serves connections: ask, pick, report, tick.
 //!
-//! A [`Desk`] owns the [`Router`]. A front admits an [`Ask`] and gets a [`Ticket`]; [`Ticket::pick`] waits
-//! for the next [`Verdict`]. A send comes with an [`Errand`], which is reported once. Nothing in here knows
-//! of a protocol or of sockets, and nobody outside sees the router's events and actions.
+//! A [`Facade`] owns the [`Router`]. A front admits a [`Request`] and gets a [`Ticket`]; [`Ticket::pick`]
+//! waits for the next [`Decision`]. A send comes with an [`Attempt`], which is reported once. Nothing in here
+//! knows of a protocol or of sockets, and nobody outside sees the router's events and actions.
 //!
 //! What comes in is kept in order and handed to the router in batches, at most one per granularity: whoever
-//! owns the desk calls [`Desk::tick`] at the time it names, or when [`Desk::woken`] returns.
+//! owns the facade calls [`Facade::tick`] at the time it names, or when [`Facade::woken`] returns.
 
 use crate::interface::*;
 use crate::Router;
@@ -17,7 +17,7 @@
 
 /// A request, in no protocol's words.
 #[derive(Clone, Debug)]
-pub struct Ask {
+pub struct Request {
     /// Place of its class in the settings.
     pub class: usize,
     /// Its group.
@@ -34,9 +34,9 @@
 
 /// What the decisions say of a request.
 #[derive(Debug)]
-pub enum Verdict {
-    /// Send it; the errand says where to and until when. Another verdict may follow.
-    Send(Errand),
+pub enum Decision {
+    /// Send it; the attempt says where to and until when. Another decision may follow.
+    Send(Attempt),
     /// Final: refused, harmless to try again, after `wait` if that is not 0.
     Refuse {
         /// How long the client should stay away.
@@ -68,7 +68,7 @@
 
 /// The decisions, shared by all tasks of a gateway.
 #[derive(Clone)]
-pub struct Desk(Rc<Inner>);
+pub struct Facade(Rc<Inner>);
 
 struct Inner {
     state: RefCell<State>,
@@ -93,13 +93,13 @@
 }
 
 struct Open {
-    verdicts: mpsc::UnboundedSender<Verdict>,
+    decisions: Inbox,
     attempts: u32,
 }
 
-impl Desk {
-    /// A desk for these settings. The seed is its only source of chance.
-    pub fn new(settings: Settings, seed: u64) -> Result<Desk, SettingsError> {
+impl Facade {
+    /// A facade for these settings. The seed is its only source of chance.
+    pub fn new(settings: Settings, seed: u64) -> Result<Facade, SettingsError> {
         let sessions = settings.classes.iter().any(|class| class.need == Need::Session);
         let state = State {
             granularity: settings.granularity,
@@ -112,28 +112,29 @@
             out: BTreeMap::new(),
             groups: BTreeSet::new(),
         };
-        Ok(Desk(Rc::new(Inner { state: RefCell::new(state), woken: Notify::new(), sessions })))
+        Ok(Facade(Rc::new(Inner { state: RefCell::new(state), woken: Notify::new(), sessions })))
     }
 
     /// Takes a request in.
-    pub fn admit(&self, ask: Ask) -> Ticket {
-        let (verdicts, inbox) = mpsc::unbounded_channel();
+    pub fn admit(&self, request: Request) -> Ticket {
+        let (decisions, inbox) = mpsc::unbounded_channel();
         let mut state = self.0.state.borrow_mut();
-        let request: RequestId = state.next.to_string().into();
+        // A number of its own: what clients call their requests may come twice.
+        let id: RequestId = state.next.to_string().into();
         state.next += 1;
-        state.open.insert(request.clone(), Open { verdicts, attempts: 0 });
+        state.open.insert(id.clone(), Open { decisions, attempts: 0 });
         state.queue.push(Event::Request {
-            request: request.clone(),
-            class: ask.class,
-            group: ask.group,
-            time_left: ask.until,
-            repeat: ask.repeat,
-            session: ask.session.filter(|_| self.0.sessions),
-            session_age: ask.session_age,
+            request: id.clone(),
+            class: request.class,
+            group: request.group,
+            time_left: request.until,
+            repeat: request.repeat,
+            session: request.session.filter(|_| self.0.sessions),
+            session_age: request.session_age,
         });
         drop(state);
         self.0.woken.notify_one();
-        Ticket { desk: self.clone(), request, inbox }
+        Ticket { facade: self.clone(), id, inbox }
     }
 
     /// News of the list: whole, or only what changed.
@@ -159,7 +160,6 @@
     /// Steps the router if it is time, and says when to call again at the latest.
     pub fn tick(&self, now: Time) -> Option<Time> {
         let mut state = self.0.state.borrow_mut();
-        let state = &mut *state;
         let earliest = state.stepped_at.saturating_add(state.granularity);
         let timer = state.timer_at.filter(|(at, _)| *at <= now);
         if now < earliest || (state.queue.is_empty() && timer.is_none()) {
@@ -179,92 +179,102 @@
         }
         let mut actions = Vec::new();
         state.router.step(now, &events, &mut actions);
-        for action in actions {
-            self.carry_out(state, now, action);
+        // Handed over when the state is free again: an attempt that nobody takes reports itself.
+        let handed: Vec<_> =
+            actions.into_iter().filter_map(|action| self.carry_out(&mut state, now, action)).collect();
+        let next = state.timer_at.map(|(at, _)| at.max(now + state.granularity));
+        drop(state);
+        for (inbox, decision) in handed {
+            let _ = inbox.send(decision);
         }
-        state.timer_at.map(|(at, _)| at.max(now + state.granularity))
+        next
     }
 
-    fn carry_out(&self, state: &mut State, now: Time, action: Action) {
+    fn carry_out(&self, state: &mut State, now: Time, action: Action) -> Option<(Inbox, Decision)> {
         match action {
             Action::Send { request, member, until } => {
-                let Some(open) = state.open.get_mut(&request) else { return };
-                let attempt = open.attempts;
+                let open = state.open.get_mut(&request)?;
+                let (number, inbox) = (open.attempts, open.decisions.clone());
                 open.attempts += 1;
                 let (caller, called_off) = oneshot::channel();
-                let desk = self.clone();
-                state.out.insert((request.clone(), attempt), caller);
-                let errand =
-                    Errand { desk, request, attempt, host: member, until, sent: now, called_off, open: true };
-                // A client that left this moment drops the errand with its inbox: that reports it.
-                let _ = open.verdicts.send(Verdict::Send(errand));
+                state.out.insert((request.clone(), number), caller);
+                let facade = self.clone();
+                let attempt = Attempt {
+                    facade,
+                    request,
+                    number,
+                    host: member,
+                    until,
+                    sent: now,
+                    called_off,
+                    reported: false,
+                };
+                return Some((inbox, Decision::Send(attempt)));
+            }
+            Action::Refuse { request, wait } => {
+                return Some((state.open.remove(&request)?.decisions, Decision::Refuse { wait }));
+            }
+            Action::Fail { request } => {
+                return Some((state.open.remove(&request)?.decisions, Decision::Fail));
             }
-            Action::Refuse { request, wait } => close(state, &request, Verdict::Refuse { wait }),
-            Action::Fail { request } => close(state, &request, Verdict::Fail),
             Action::CallOff { request, attempt } => {
-                if let Some(caller) = state.out.remove(&(request, attempt)) {
-                    let _ = caller.send(());
-                }
+                let caller = state.out.remove(&(request, attempt))?;
+                let _ = caller.send(());
             }
             Action::Timer { token, at } => state.timer_at = Some((at, token)),
             Action::Note { text } => log::info!("{text}"),
             // The gateway's settings forbid probes, and it watches the list all the time unasked.
             Action::Probe { .. } | Action::WatchList | Action::ReadList => {}
         }
+        None
     }
 }
 
-fn close(state: &mut State, request: &RequestId, verdict: Verdict) {
-    if let Some(open) = state.open.remove(request) {
-        let _ = open.verdicts.send(verdict);
-    }
-}
+type Inbox = mpsc::UnboundedSender<Decision>;
 
 /// A request that was taken in. Dropped before its end, it is withdrawn.
 pub struct Ticket {
-    desk: Desk,
-    request: RequestId,
-    inbox: mpsc::UnboundedReceiver<Verdict>,
+    facade: Facade,
+    id: RequestId,
+    inbox: mpsc::UnboundedReceiver<Decision>,
 }
 
 impl Ticket {
-    /// Waits for the next verdict. After the last one it says [`Verdict::Fail`].
-    pub async fn pick(&mut self) -> Verdict {
-        self.inbox.recv().await.unwrap_or(Verdict::Fail)
+    /// Waits for the next decision. After the last one it says [`Decision::Fail`].
+    pub async fn pick(&mut self) -> Decision {
+        self.inbox.recv().await.unwrap_or(Decision::Fail)
     }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        let mut state = self.desk.0.state.borrow_mut();
-        let open = state.open.remove(&self.request);
-        if open.is_some() {
-            state.queue.push(Event::Withdrawn { request: self.request.clone() });
+        let mut state = self.facade.0.state.borrow_mut();
+        if state.open.remove(&self.id).is_some() {
+            state.queue.push(Event::Withdrawn { request: self.id.clone() });
         }
-        // The sender goes last, with the borrow ended: what is still in the channel may be an errand, whose
-        // own drop reports to the desk.
+        // The borrow ends here. What is still in the inbox goes after it: that may be an attempt, which
+        // reports itself.
         drop(state);
-        drop(open);
-        self.desk.0.woken.notify_one();
+        self.facade.0.woken.notify_one();
     }
 }
 
-/// An attempt to make. It is reported exactly once: by [`Errand::report`], or when it is dropped.
-#[derive(Debug)]
-pub struct Errand {
-    desk: Desk,
+/// An attempt to make. It is reported exactly once: by [`Attempt::report`], or when it is dropped. Without
+/// that the router would count it as out for good, and its member would lose room.
+pub struct Attempt {
+    facade: Facade,
     request: RequestId,
-    attempt: u32,
+    number: u32,
     /// The member to send to.
     pub host: MemberId,
     /// Clock time at which to give it up.
     pub until: Time,
     sent: Time,
     called_off: oneshot::Receiver<()>,
-    open: bool,
+    reported: bool,
 }
 
-impl Errand {
+impl Attempt {
     /// Waits until the attempt is to be given up before its time.
     pub async fn called_off(&mut self) {
         if (&mut self.called_off).await.is_err() {
@@ -279,16 +289,16 @@
     }
 
     fn tell(&mut self, now: Time, outcome: Outcome) -> bool {
-        self.open = false;
-        let mut state = self.desk.0.state.borrow_mut();
-        state.out.remove(&(self.request.clone(), self.attempt));
+        self.reported = true;
+        let mut state = self.facade.0.state.borrow_mut();
+        state.out.remove(&(self.request.clone(), self.number));
         let served = outcome.ending == Ending::Served;
         // Closed here and not by the next step: no refusal may overtake an answer.
-        let finished = if served { state.open.remove(&self.request) } else { None };
+        let answers = served && state.open.remove(&self.request).is_some();
         let closed = served || !state.open.contains_key(&self.request);
         state.queue.push(Event::Outcome {
             request: self.request.clone(),
-            attempt: self.attempt,
+            attempt: self.number,
             member: self.host,
             ending: outcome.ending,
             took: (now - self.sent).max(0),
@@ -298,22 +308,22 @@
             report: outcome.report,
         });
         drop(state);
-        self.desk.0.woken.notify_one();
-        finished.is_some()
+        self.facade.0.woken.notify_one();
+        answers
     }
 }
 
-impl Drop for Errand {
+impl Drop for Attempt {
     fn drop(&mut self) {
-        if self.open {
+        if !self.reported {
             // Never tried: its client left before it was taken up.
             self.tell(self.sent, Outcome::silent(Ending::NotSent));
         }
     }
 }
 
-impl std::fmt::Debug for Desk {
+impl std::fmt::Debug for Attempt {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Desk")
+        write!(f, "attempt {} of {} at {}", self.number, self.request, self.host)
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 //! The gateway: wiring and signals. See the README for what it is and `net` for how it works.
 #![forbid(unsafe_code)]
 
-use emberford::facade::Desk;
+use emberford::facade::Facade;
 use emberford::net::budget::Budget;
 use emberford::net::clock::Clock;
 use emberford::net::config::Config;
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::JoinSet;
 
 /// After SIGTERM clients are accepted for this span: the front learns of it only then (microseconds).
 const LAST_CLIENTS: Time = 450_000;
@@ -48,23 +48,24 @@
     settings.may_probe = false;
     settings.list_on_request = false;
     let classes = settings.classes.clone();
-    let desk = Desk::new(settings, config.seed).map_err(|cause| format!("settings: {cause}"))?;
+    let facade = Facade::new(settings, config.seed).map_err(|cause| format!("settings: {cause}"))?;
     let clock = Clock::start();
     let counters = Rc::new(Counters::default());
     let budget = Budget::new(config.sockets);
     let (connect, idle) = (config.info.connect_span(), config.info.idle_span());
     let hosts = Hosts::new(clock, budget.clone(), counters.clone(), connect, idle);
-    let follower = Follower::new(desk.clone(), hosts.clone(), counters.clone(), config.known);
+    let follower = Follower::new(facade.clone(), hosts.clone(), counters.clone(), config.known);
     let (stop, stopping) = watch::channel(false);
     let listener = listen(config.listen).map_err(|cause| format!("cannot listen: {cause}"))?;
     let (mut term, mut interrupt, mut usr1) =
         (on(SignalKind::terminate())?, on(SignalKind::interrupt())?, on(SignalKind::user_defined1())?);
 
-    spawn_local(follower.follow(config.discovery, clock));
-    spawn_local(keep_time(desk.clone(), clock));
-    spawn_local(keep_clean(hosts.clone(), clock));
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(follower.follow(config.discovery, clock));
+    tasks.spawn_local(keep_time(facade.clone(), clock));
+    tasks.spawn_local(keep_clean(hosts.clone(), clock));
     let front = Rc::new(Front {
-        desk,
+        facade,
         hosts: hosts.clone(),
         clock,
         budget,
@@ -73,7 +74,7 @@
         stopping,
         open: Cell::new(0),
     });
-    let accepting = spawn_local(front.clone().accept(listener));
+    tasks.spawn_local(front.clone().accept(listener));
     log::info!("{} serves at {}", config.name, config.listen);
 
     loop {
@@ -81,12 +82,12 @@
             _ = usr1.recv() => log::info!("{counters}"),
             _ = term.recv() => break,
             _ = interrupt.recv() => break,
+            // None of them ends by itself. Without one the gateway would go on and serve nobody.
+            Some(ended) = tasks.join_next() => return Err(format!("a task ended: {ended:?}")),
         }
     }
     log::info!("stopping");
     clock.sleep_until(clock.now() + LAST_CLIENTS).await;
-    accepting.abort();
-    let _ = accepting.await;
     let _ = stop.send(true);
     while front.open.get() > 0 || hosts.out() > 0 {
         clock.sleep_until(clock.now() + LOOK).await;
@@ -108,14 +109,14 @@
 }
 
 /// Steps the decisions when something came in or a timer is due.
-async fn keep_time(desk: Desk, clock: Clock) {
+async fn keep_time(facade: Facade, clock: Clock) {
     loop {
-        match desk.tick(clock.now()) {
+        match facade.tick(clock.now()) {
             Some(at) => tokio::select! {
                 () = clock.sleep_until(at) => {}
-                () = desk.woken() => {}
+                () = facade.woken() => {}
             },
-            None => desk.woken().await,
+            None => facade.woken().await,
         }
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,6 +1,6 @@
 //! The client of discovery: one watch over HTTP/1.1, kept open, its answer read line by line.
 
-use crate::facade::Desk;
+use crate::facade::Facade;
 use crate::net::clock::Clock;
 use crate::net::counters::Counters;
 use crate::net::hosts::{Hosts, Site};
@@ -58,9 +58,9 @@
     Removed,
 }
 
-/// Follows discovery and tells the desk and the hosts.
+/// Follows discovery and tells the facade and the hosts.
 pub struct Follower {
-    desk: Desk,
+    facade: Facade,
     hosts: Rc<Hosts>,
     counters: Rc<Counters>,
     /// The decisions know hosts by number; discovery's names stay the same at every gateway and restart.
@@ -70,8 +70,8 @@
 
 impl Follower {
     /// A follower that starts from the list as it was last known.
-    pub fn new(desk: Desk, hosts: Rc<Hosts>, counters: Rc<Counters>, known: Option<List>) -> Follower {
-        let mut follower = Follower { desk, hosts, counters, numbers: BTreeMap::new(), revision: None };
+    pub fn new(facade: Facade, hosts: Rc<Hosts>, counters: Rc<Counters>, known: Option<List>) -> Follower {
+        let mut follower = Follower { facade, hosts, counters, numbers: BTreeMap::new(), revision: None };
         if let Some(list) = known {
             // Whatever it says of itself, it is all that is known: there is no older list to change.
             follower.take(List { complete: true, ..list });
@@ -136,6 +136,13 @@
     }
 
     fn take(&mut self, list: List) {
+        // Half a list is none: nothing of it is used if a host that runs has no address.
+        if let Some(row) =
+            list.members.iter().find(|row| row.phase != Phase::Removed && row.host_port.is_none())
+        {
+            self.counters.bad_lists.add();
+            return log::warn!("news from discovery cannot be used: {} has no address", row.id);
+        }
         self.counters.lists.add();
         self.revision = Some(list.revision);
         let mut entries = Vec::new();
@@ -165,7 +172,7 @@
             self.hosts.keep_only(&|id| named.contains(&id));
         }
         log::debug!("list {} with {} entries", list.revision, entries.len());
-        self.desk.list(list.complete, entries);
+        self.facade.list(list.complete, entries);
     }
 }
 
--- a/src/net/ending.rs
+++ b/src/net/ending.rs
@@ -31,6 +31,8 @@
     NoDescriptor,
     /// No address is known for the host.
     NoAddress,
+    /// Its time was over before it could be written.
+    TooLate,
     /// Idle too long, or its host moved, started again or left: closed by the gateway.
     Retired,
     /// Idle, and closed by the host.
@@ -53,7 +55,7 @@
 
 impl End {
     /// All of them, in order.
-    pub const ALL: [End; 22] = [
+    pub const ALL: [End; 23] = [
         End::Served,
         End::HostError,
         End::TurnedAway,
@@ -67,6 +69,7 @@
         End::CalledOff,
         End::NoDescriptor,
         End::NoAddress,
+        End::TooLate,
         End::Retired,
         End::HostClosedIdle,
         End::ClientLeft,
@@ -90,7 +93,7 @@
             End::NoAnswer => Ending::TimedOut,
             End::CalledOff => Ending::CalledOff,
             // Nothing the host did: it must not be blamed for it.
-            End::NoDescriptor | End::NoAddress => Ending::NotSent,
+            End::NoDescriptor | End::NoAddress | End::TooLate => Ending::NotSent,
             // These end connections that carry no attempt.
             End::Retired
             | End::HostClosedIdle
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,6 +1,6 @@
 //! Client sessions: PostgreSQL's simple queries in, one final answer out for each.
 
-use crate::facade::{Ask, Desk, Ticket, Verdict};
+use crate::facade::{Decision, Facade, Request};
 use crate::net::budget::Budget;
 use crate::net::clock::Clock;
 use crate::net::counters::Counters;
@@ -23,13 +23,15 @@
 const STARTUP: Time = 10_000_000;
 /// Span after a request's end in which its client must have taken the answer (microseconds).
 const TAKING: Time = 2_000_000;
+/// Span in which a client that is cut off may read the reason (microseconds).
+const LINGER: Time = 300_000;
 /// Bytes of further queries that are read ahead while one is being answered.
 const AHEAD: usize = pg::MOST;
 
 /// What all sessions share.
 pub struct Front {
     /// The decisions.
-    pub desk: Desk,
+    pub facade: Facade,
     /// The database hosts.
     pub hosts: Rc<Hosts>,
     /// The clock.
@@ -47,12 +49,18 @@
 }
 
 impl Front {
-    /// Accepts clients for as long as it is polled. It never pauses: what waits in the kernel's backlog
-    /// counts as taken.
+    /// Accepts clients until the gateway stops. It never pauses: what waits in the kernel's backlog counts
+    /// as taken, and so what is there goes before the stop.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         let mut number = 0u32;
+        let mut stopping = self.stopping.clone();
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                _ = stopping.wait_for(|stopping| *stopping) => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     number = number.wrapping_add(1);
                     self.counters.clients.add();
@@ -127,11 +135,18 @@
         }
     }
 
+    /// Reads and forgets until the client leaves.
+    async fn discard(&mut self) {
+        while self.read().await.is_ok() {
+            self.framer.buffer().clear();
+        }
+    }
+
     fn sort(&mut self) {
         while self.flaw.is_none() {
             match self.framer.message() {
                 Ok(Some(message)) => {
-                    self.bytes += message.raw.len();
+                    self.bytes += weight(&message);
                     self.ready.push_back((message, self.clock.now()));
                 }
                 Ok(None) => return,
@@ -145,7 +160,7 @@
         loop {
             self.sort();
             if let Some((message, at)) = self.ready.pop_front() {
-                self.bytes -= message.raw.len();
+                self.bytes -= weight(&message);
                 return Ok(Ok((message, at)));
             }
             if let Some(flaw) = self.flaw {
@@ -169,6 +184,11 @@
     }
 }
 
+/// What a message that waits costs: a flood of the smallest ones must not cost more than it seems.
+fn weight(message: &Message) -> usize {
+    message.raw.len() + std::mem::size_of::<(Message, Time)>()
+}
+
 struct Session<'a> {
     front: Rc<Front>,
     inbox: Inbox<'a>,
@@ -187,9 +207,11 @@
     async fn talk(&mut self, number: u32) -> Result<End, End> {
         let clock = self.front.clock;
         let startup_by = clock.now() + STARTUP;
+        let mut stopping = self.stopping.clone();
         let opened = tokio::select! {
             biased;
             opened = self.open(number) => opened?,
+            _ = stopping.wait_for(|stopping| *stopping) => Some(End::Stopped),
             () = clock.sleep_until(startup_by) => Some(End::ClientSilent),
         };
         if let Some(end) = opened {
@@ -210,9 +232,9 @@
                 Err(flaw) => return self.refuse_bytes(flaw).await,
             };
             match message.kind() {
-                b'Q' => match message.body().strip_suffix(&[0]) {
-                    Some(text) if !text.contains(&0) => self.query(text, at).await?,
-                    _ => return self.refuse_bytes(pg::Malformed("invalid string in message")).await,
+                b'Q' => match message.text() {
+                    Ok(text) => self.query(text, at).await?,
+                    Err(flaw) => return self.refuse_bytes(flaw).await,
                 },
                 b'X' => return Ok(End::ClientTerminated),
                 b'P' | b'B' | b'D' | b'E' | b'C' => {
@@ -262,6 +284,13 @@
         let mut out = Vec::new();
         pg::put_error(&mut out, Severity::Fatal, "08P01", flaw.0, None);
         self.write(&out, self.front.clock.now()).await?;
+        // Closed with bytes unread, the connection would be reset and the client not see the reason.
+        let clock = self.front.clock;
+        let _ = self.writer.shutdown().await;
+        tokio::select! {
+            () = self.inbox.discard() => {}
+            () = clock.sleep_until(clock.now() + LINGER) => {}
+        }
         Ok(End::ClientMalformed)
     }
 
@@ -293,18 +322,18 @@
         }
     }
 
-    async fn query(&mut self, text: &[u8], at: Time) -> Result<(), End> {
+    async fn query(&mut self, text: Bytes, at: Time) -> Result<(), End> {
         let mut out = Vec::new();
         let mut until = at;
         if text.iter().all(|byte| byte.is_ascii_whitespace() || *byte == b';') {
             pg::put_empty(&mut out);
-        } else if let Some(tag) = without_effect(text) {
+        } else if let Some(tag) = without_effect(&text) {
             pg::put_complete(&mut out, tag);
         } else {
-            match self.read_statement(text, at) {
-                Ok((ask, statement)) => {
-                    until = ask.until;
-                    self.answer(ask, statement, &mut out).await?;
+            match self.read_statement(&text, at) {
+                Ok((request, statement)) => {
+                    until = request.until;
+                    self.answer(request, statement, &mut out).await?;
                 }
                 Err((code, cause)) => {
                     self.front.counters.bad_statements.add();
@@ -318,9 +347,9 @@
 
     fn read_statement(
         &self,
-        text: &[u8],
+        text: &Bytes,
         at: Time,
-    ) -> Result<(Ask, Statement), (&'static str, &'static str)> {
+    ) -> Result<(Request, Statement), (&'static str, &'static str)> {
         let statement = Statement::parse(text).map_err(|cause| ("42601", cause))?;
         let named = self.front.classes.iter().position(|class| class.name == statement.class);
         let place = named.ok_or(("22023", "no such class"))?;
@@ -331,11 +360,11 @@
         if matches!(class.effect, Effect::Keyed { .. }) && !statement.keyed {
             return Err(("22023", "its class asks for a key, and the comment names no k"));
         }
-        if !self.front.desk.may_serve(statement.cluster) {
+        if !self.front.facade.may_serve(statement.cluster) {
             return Err(("22023", "no such cluster"));
         }
         let with_session = matches!(class.need, Need::Write | Need::Session);
-        let ask = Ask {
+        let request = Request {
             class: place,
             group: statement.cluster,
             until: at.saturating_add(statement.wait_ms as Time * 1000),
@@ -343,14 +372,14 @@
             session: with_session.then(|| statement.name.as_str().into()),
             session_age: statement.after_ms.map(|ms| (at - (ms as Time).saturating_mul(1000)).max(0)),
         };
-        Ok((ask, statement))
+        Ok((request, statement))
     }
 
-    async fn answer(&mut self, ask: Ask, statement: Statement, out: &mut Vec<u8>) -> Result<(), End> {
+    async fn answer(&mut self, request: Request, statement: Statement, out: &mut Vec<u8>) -> Result<(), End> {
         let front = self.front.clone();
         front.counters.requests.add();
         let statement = Rc::new(statement);
-        let mut ticket = front.desk.admit(ask);
+        let mut ticket = front.facade.admit(request);
         let mut attempt: Option<JoinHandle<Option<Vec<Bytes>>>> = None;
         loop {
             // The order matters: what a host served goes before what the decisions say, and both before
@@ -365,20 +394,20 @@
                     }
                     None => attempt = None,
                 },
-                verdict = Ticket::pick(&mut ticket) => match verdict {
+                decision = ticket.pick() => match decision {
                     // Its own task: a keyed write that failed for its client may still be out.
-                    Verdict::Send(errand) => {
+                    Decision::Send(send) => {
                         let hosts = front.hosts.clone();
-                        attempt = Some(tokio::task::spawn_local(hosts.attempt(errand, statement.clone())));
+                        attempt = Some(tokio::task::spawn_local(hosts.attempt(send, statement.clone())));
                     }
-                    Verdict::Refuse { wait } => {
+                    Decision::Refuse { wait } => {
                         front.counters.refused.add();
                         let hint = (wait > 0).then(|| (wait / 1000).max(1).to_string());
                         let text = "too busy for this request now";
                         pg::put_error(out, Severity::Error, "53300", text, hint.as_deref());
                         return Ok(());
                     }
-                    Verdict::Fail => {
+                    Decision::Fail => {
                         front.counters.failed.add();
                         let text = "no answer in time; it may have had an effect";
                         pg::put_error(out, Severity::Error, "40003", text, None);
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -1,6 +1,6 @@
 //! Connections to database hosts: the pool, and one attempt on one of them.
 
-use crate::facade::{Errand, Outcome};
+use crate::facade::{Attempt, Outcome};
 use crate::net::budget::{Budget, Slot};
 use crate::net::clock::Clock;
 use crate::net::counters::Counters;
@@ -124,15 +124,19 @@
     }
 
     /// Makes one attempt and reports it. Gives the row if it is the request's final answer.
-    pub async fn attempt(self: Rc<Self>, mut errand: Errand, statement: Rc<Statement>) -> Option<Vec<Bytes>> {
+    pub async fn attempt(
+        self: Rc<Self>,
+        mut attempt: Attempt,
+        statement: Rc<Statement>,
+    ) -> Option<Vec<Bytes>> {
         self.counters.attempts.add();
         self.out.set(self.out.get() + 1);
         let written = Cell::new(false);
-        let (host, until) = (errand.host, errand.until);
+        let (host, until) = (attempt.host, attempt.until);
         let tried = tokio::select! {
             biased;
             tried = self.exchange(host, until, &statement, &written) => tried,
-            () = errand.called_off() => Err(End::CalledOff),
+            () = attempt.called_off() => Err(End::CalledOff),
             () = self.clock.sleep_until(until) => {
                 Err(if written.get() { End::NoAnswer } else { End::ConnectSilent })
             }
@@ -146,7 +150,7 @@
         };
         self.counters.ended(end);
         log::debug!("attempt at {host} ended: {end:?}");
-        let owed = errand.report(self.clock.now(), outcome);
+        let owed = attempt.report(self.clock.now(), outcome);
         row.filter(|_| owed)
     }
 
@@ -171,10 +175,12 @@
                 }
             }
         };
-        let left_ms = ((until - self.clock.now()) / 1000).max(1) as u64;
-        let mut query = Vec::new();
-        pg::put_query(&mut query, &statement.with_wait(left_ms));
-        connection.stream.write_all(&query).await.map_err(|_| End::BrokenUnsent)?;
+        let left = until - self.clock.now();
+        if left <= 0 {
+            return Err(End::TooLate);
+        }
+        let mut query = statement.query((left / 1000).max(1) as u64);
+        connection.stream.write_all_buf(&mut query).await.map_err(|_| End::BrokenUnsent)?;
         written.set(true);
         self.counters.sent.add();
         let mut gather = Gather::default();
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -29,6 +29,14 @@
     pub fn body(&self) -> &[u8] {
         &self.raw[5..]
     }
+
+    /// The one text that is its body, without the byte that ends it.
+    pub fn text(&self) -> Result<Bytes, Malformed> {
+        match self.body().split_last() {
+            Some((0, text)) if !text.contains(&0) => Ok(self.raw.slice(5..self.raw.len() - 1)),
+            _ => Err(Malformed("invalid string in message")),
+        }
+    }
 }
 
 /// What a client may open with.
@@ -91,7 +99,12 @@
         if self.buffer.len() < 1 + length {
             return Ok(None);
         }
-        Ok(Some(Message { raw: self.buffer.split_to(1 + length).freeze() }))
+        let raw = self.buffer.split_to(1 + length).freeze();
+        if self.buffer.is_empty() {
+            // Its room would stay with an idle connection, as large as the largest message was.
+            self.buffer = BytesMut::new();
+        }
+        Ok(Some(Message { raw }))
     }
 
     fn length_at(&self, place: usize) -> Option<usize> {
@@ -165,12 +178,13 @@
     put(out, b'C', |body| put_text(body, tag));
 }
 
-/// A simple query, from the statement's bytes.
-pub fn put_query(out: &mut Vec<u8>, statement: &[u8]) {
-    put(out, b'Q', |body| {
-        body.extend_from_slice(statement);
-        body.push(0);
-    });
+/// A simple query of a statement that comes in parts, which are not copied.
+pub fn query(parts: [Bytes; 3]) -> impl Buf {
+    let [first, second, third] = parts;
+    let length = (first.len() + second.len() + third.len() + 5) as u32;
+    let mut head = vec![b'Q'];
+    head.extend_from_slice(&length.to_be_bytes());
+    Bytes::from(head).chain(first).chain(second).chain(third).chain(Bytes::from_static(&[0]))
 }
 
 /// How bad an error is.
--- a/src/net/statement.rs
+++ b/src/net/statement.rs
@@ -1,12 +1,14 @@
 //! The statements of the platform's protocol: one SELECT or INSERT with a quoted key, and a comment that
 //! says what the request needs.
 
+use crate::net::pg;
+use bytes::{Buf, Bytes};
 use std::ops::Range;
 
 /// A statement, as its client sent it, with what its comment says.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Statement {
-    text: Vec<u8>,
+    text: Bytes,
     digits: Range<usize>,
     /// It writes.
     pub write: bool,
@@ -31,7 +33,7 @@
 
 impl Statement {
     /// Reads a statement. The cause of a failure is one plain sentence.
-    pub fn parse(text: &[u8]) -> Result<Statement, &'static str> {
+    pub fn parse(text: &Bytes) -> Result<Statement, &'static str> {
         let write = match verb(text).to_ascii_uppercase().as_slice() {
             b"SELECT" => false,
             b"INSERT" => true,
@@ -47,8 +49,8 @@
             place += pair.len() + 1;
             let (field, value) = pair.split_once('=').ok_or("the comment holds something without a value")?;
             let at = start + field.len() + 1;
-            let (trimmed, value) = (value, value.trim());
-            let at = at + (trimmed.len() - trimmed.trim_start().len());
+            let at = at + (value.len() - value.trim_start().len());
+            let value = value.trim();
             match field.trim() {
                 "id" => once(&mut id, value)?,
                 "c" => once(&mut class, value)?,
@@ -72,16 +74,15 @@
             cluster: cluster.ok_or("the comment names no cluster")?,
             after_ms: after,
             repeat,
-            text: text.to_vec(),
+            text: text.clone(),
         })
     }
 
-    /// The statement's bytes with another wait, and otherwise unaltered.
-    pub fn with_wait(&self, wait_ms: u64) -> Vec<u8> {
-        let mut text = self.text[..self.digits.start].to_vec();
-        text.extend_from_slice(wait_ms.to_string().as_bytes());
-        text.extend_from_slice(&self.text[self.digits.end..]);
-        text
+    /// The query that sends it on: unaltered but for how long the answer is waited for.
+    pub fn query(&self, wait_ms: u64) -> impl Buf {
+        let before = self.text.slice(..self.digits.start);
+        let after = self.text.slice(self.digits.end..);
+        pg::query([before, wait_ms.to_string().into(), after])
     }
 }
 
