Rename package and adapter to petrelgauge

The gateway's binary is now the package's own. Nothing else changes; fmt, clippy and the tests pass.

--- a/src/bin/emberford-drill.rs
+++ b/src/bin/petrelgauge-benchlink.rs
@@ -2,7 +2,7 @@
 //! It only translates; every decision is the library's.
 #![forbid(unsafe_code)]
 
-#[path = "emberford-drill/wire.rs"]
+#[path = "petrelgauge-benchlink/wire.rs"]
 mod wire;
 
 use std::io::{BufRead, Write};
@@ -24,7 +24,7 @@
         let sent = match reply {
             Ok(reply) => writeln!(output, "{reply}").and_then(|()| output.flush()),
             Err(cause) => {
-                eprintln!("emberford-drill: line {number}: {cause}");
+                eprintln!("petrelgauge-benchlink: line {number}: {cause}");
                 std::process::exit(2);
             }
         };
--- a/src/bin/emberford-drill/wire.rs
+++ b/src/bin/petrelgauge-benchlink/wire.rs
@@ -1,7 +1,7 @@
 //! The bench's wire in the library's words and back.
 
-use emberford::settings::{self, Info};
-use emberford::*;
+use petrelgauge::settings::{self, Info};
+use petrelgauge::*;
 use serde::Deserialize;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! emberford decides for a client library that routes reads and writes in a replicated store: which
+//! petrelgauge decides for a client library that routes reads and writes in a replicated store: which
 //! member of a group gets a request, when to wait, when to try again and when to refuse.
 //!
 //! A [`Router`] is a plain state machine. It has no clock, no threads and does no I/O: the embedding
 //! program calls [`Router::step`] once for each batch of events and carries out the actions it gets back.
 //!
 //! ```
-//! use emberford::*;
+//! use petrelgauge::*;
 //!
 //! let settings = Settings {
 //!     classes: vec![Class {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,15 +1,15 @@
 //! The gateway: wiring and signals. See the README for what it is and `net` for how it works.
 #![forbid(unsafe_code)]
 
-use emberford::facade::Facade;
-use emberford::net::budget::Budget;
-use emberford::net::clock::Clock;
-use emberford::net::config::Config;
-use emberford::net::counters::Counters;
-use emberford::net::discovery::Follower;
-use emberford::net::front::Front;
-use emberford::net::hosts::Hosts;
-use emberford::Time;
+use petrelgauge::facade::Facade;
+use petrelgauge::net::budget::Budget;
+use petrelgauge::net::clock::Clock;
+use petrelgauge::net::config::Config;
+use petrelgauge::net::counters::Counters;
+use petrelgauge::net::discovery::Follower;
+use petrelgauge::net::front::Front;
+use petrelgauge::net::hosts::Hosts;
+use petrelgauge::Time;
 use std::cell::Cell;
 use std::process::ExitCode;
 use std::rc::Rc;
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -16,7 +16,7 @@
 }
 
 fn drill(input: &str) -> (i32, String, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_emberford-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_petrelgauge-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
