--- /dev/null
+++ b/tests/facade.rs
@@ -0,0 +1,132 @@
+//! The facade: every send is reported once, in whatever order its request, client and attempt end.
+
+mod common;
+use common::*;
+use petrelgauge::facade::{Attempt, Decision, Facade, Outcome, Request, Ticket};
+use petrelgauge::*;
+use std::future::Future;
+use std::pin::pin;
+use std::task::{Context, Poll, Waker};
+
+const STEP: Time = 5 * MS;
+
+/// The value of a future that needs to wait for nothing.
+fn ready<T>(future: impl Future<Output = T>) -> Option<T> {
+    match pin!(future).poll(&mut Context::from_waker(Waker::noop())) {
+        Poll::Ready(value) => Some(value),
+        Poll::Pending => None,
+    }
+}
+
+struct Play {
+    facade: Facade,
+    now: Time,
+}
+
+impl Play {
+    fn new() -> Play {
+        let mut play = Play { facade: Facade::new(settings(), 11).expect("sound settings"), now: START };
+        play.facade.list(true, (1..=3).map(|member| entry(member, Standing::Up, member == 1, 0)).collect());
+        play.step();
+        play
+    }
+
+    fn step(&mut self) -> Option<Time> {
+        self.now += STEP;
+        self.facade.tick(self.now)
+    }
+
+    fn admit(&mut self, class: usize, left: Time) -> Ticket {
+        let until = self.now + left;
+        self.facade.admit(Request { class, group: G, until, repeat: false, session: None, session_age: None })
+    }
+
+    fn send(&mut self, ticket: &mut Ticket) -> Attempt {
+        self.step();
+        match ready(ticket.pick()) {
+            Some(Decision::Send(attempt)) => attempt,
+            other => panic!("no send but {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn what_is_served_is_the_answer_and_only_while_its_request_is_open() {
+    let mut play = Play::new();
+    let mut ticket = play.admit(2, 900 * MS);
+    let attempt = play.send(&mut ticket);
+    assert!(attempt.report(play.now + MS, Outcome::silent(Ending::Served)));
+    play.step();
+    assert!(matches!(ready(ticket.pick()), Some(Decision::Fail)), "nothing more is decided");
+
+    let mut ticket = play.admit(2, 900 * MS);
+    let attempt = play.send(&mut ticket);
+    drop(ticket);
+    assert!(!attempt.report(play.now + MS, Outcome::silent(Ending::Served)), "nobody waits for it");
+}
+
+#[test]
+fn a_ticket_that_is_dropped_calls_its_attempt_off() {
+    let mut play = Play::new();
+    let mut ticket = play.admit(2, 900 * MS);
+    let mut attempt = play.send(&mut ticket);
+    assert!(ready(attempt.called_off()).is_none());
+    drop(ticket);
+    play.step();
+    assert!(ready(attempt.called_off()).is_some());
+}
+
+// Before, an attempt that its client did not live to take up could have been counted as out for good.
+#[test]
+fn attempts_that_nobody_takes_up_leave_no_trace() {
+    let mut play = Play::new();
+    for _ in 0..200 {
+        let ticket = play.admit(5, 900 * MS);
+        play.step();
+        drop(ticket);
+        play.step();
+    }
+    let mut ticket = play.admit(5, 900 * MS);
+    assert_eq!(play.send(&mut ticket).host, 1, "the primary has room for a write");
+}
+
+// A keyed write fails for its client while its attempt may still run: the attempt goes on and is reported.
+#[test]
+fn a_failed_write_has_its_attempt_out_until_that_is_reported() {
+    let mut play = Play::new();
+    for _ in 0..40 {
+        let mut ticket = play.admit(5, 100 * MS);
+        let mut attempt = play.send(&mut ticket);
+        let mut last = None;
+        while last.is_none() {
+            play.step();
+            last = ready(ticket.pick());
+        }
+        assert!(matches!(last, Some(Decision::Fail)), "{last:?}");
+        assert!(ready(attempt.called_off()).is_none());
+        assert!(!attempt.report(play.now + 9 * MS, Outcome::silent(Ending::TimedOut)));
+        // A time-out bars its member for a while.
+        for _ in 0..300 {
+            play.step();
+        }
+    }
+}
+
+#[test]
+fn steps_come_at_most_once_a_granularity_and_name_the_next() {
+    let mut play = Play::new();
+    let mut ticket = play.admit(2, 900 * MS);
+    let early = play.now + MS;
+    assert_eq!(play.facade.tick(early), Some(play.now + STEP), "too early to step");
+    assert!(ready(ticket.pick()).is_none());
+    assert!(play.step().is_some(), "an open request sets a timer");
+    assert!(matches!(ready(ticket.pick()), Some(Decision::Send(_))));
+}
+
+#[test]
+fn a_group_is_known_once_a_list_named_it() {
+    let facade = Facade::new(settings(), 11).expect("sound settings");
+    assert!(facade.may_serve(99), "no list has come yet");
+    facade.list(true, vec![entry(1, Standing::Up, true, 0)]);
+    assert!(facade.may_serve(G) && !facade.may_serve(99));
+}
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,231 @@
+//! The program on real sockets, between a scripted client, scripted database hosts and a scripted discovery.
+//! Each test has a loopback address of its own. Answers are asserted, never speed: what waits only gives up
+//! after a span that no working gateway needs.
+
+mod stage;
+use stage::*;
+
+#[test]
+fn an_empty_query_admits_the_gateway_and_encryption_is_declined() {
+    let gateway = Stage::new(1).start();
+    let mut client = gateway.raw_client();
+    client.write(&[0, 0, 0, 8, 4, 210, 22, 47]);
+    assert_eq!(client.bytes(1), b"N");
+    client.write(&[0, 0, 0, 8, 4, 210, 22, 48]);
+    assert_eq!(client.bytes(1), b"N");
+    // The first query comes with the startup message.
+    client.write(&[startup(), query("")].concat());
+    assert_eq!(client.until_ready().first().map(|m| m.0), Some(b'R'));
+    assert_eq!(kinds(&client.until_ready()), "IZ");
+    assert_eq!(kinds(&client.ask("SET client_encoding = 'UTF8'")), "CZ");
+}
+
+#[test]
+fn a_value_comes_back_as_the_host_gave_it_and_the_statement_goes_on_unaltered() {
+    let stage = Stage::new(2);
+    let host = stage.host(vec![Say::Row(b"\x00\xffvalue")]);
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let mut client = gateway.client();
+    let text = select("it''s /* no comment */", "view", 5000);
+    let answer = client.ask(&text);
+    assert_eq!(kinds(&answer), "TDCZ", "what the host says of itself stays here");
+    assert_eq!(answer[1].1, [&[0, 1, 0, 0, 0, 7][..], b"\x00\xffvalue"].concat());
+    let seen = host.next_query();
+    let (before, rest) = seen.split_once(",d=").expect("it names d");
+    let (digits, after) = rest.split_once(',').expect("more follows");
+    assert_eq!(format!("{before},d=5000,{after}"), text);
+    assert!((1..=5000).contains(&digits.parse::<u64>().expect("a number")), "{digits}");
+}
+
+#[test]
+fn pipelined_queries_are_answered_in_order() {
+    let stage = Stage::new(3);
+    let host = stage.host(vec![Say::Row(b"one"), Say::Row(b"two"), Say::Row(b"three")]);
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let mut client = gateway.client();
+    let texts = ["a", "b", "c"].map(|name| query(&select(name, "view", 5000)));
+    client.write(&texts.concat());
+    for value in [&b"one"[..], b"two", b"three"] {
+        let answer = client.until_ready();
+        assert!(answer[1].1.ends_with(value), "{answer:?}");
+    }
+}
+
+#[test]
+fn what_cannot_be_used_is_an_error_that_keeps_the_connection() {
+    let stage = Stage::new(4);
+    let host = stage.host(vec![Say::Row(b"v")]);
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let mut client = gateway.client();
+    let good = select("a", "view", 5000);
+    let bad = [
+        ("DELETE FROM kv".to_string(), "42601"),
+        (good.replace("d=5000", "d=soon"), "42601"),
+        (good.replace("c=view", "c=vista"), "22023"),
+        (good.replace("cluster=2", "cluster=3"), "22023"),
+        (good.replace("SELECT", "INSERT"), "42601"),
+        (insert("a", 5000).replace("k=5c0f,", ""), "22023"),
+    ];
+    for (text, code) in bad {
+        let answer = client.ask(&text);
+        assert_eq!((kinds(&answer).as_str(), field(&answer[0].1, b'C').as_str()), ("EZ", code), "{text}");
+    }
+    assert_eq!(kinds(&client.ask(&good)), "TDCZ");
+}
+
+#[test]
+fn extended_queries_are_declined_up_to_sync() {
+    let gateway = Stage::new(5).start();
+    let mut client = gateway.client();
+    let parts = [message(b'P', b"\0SELECT 1\0\0\0"), message(b'E', b"\0\0\0\0\0"), message(b'S', b"")];
+    client.write(&parts.concat());
+    let answer = client.until_ready();
+    assert_eq!((kinds(&answer).as_str(), field(&answer[0].1, b'C').as_str()), ("EZ", "0A000"));
+    assert_eq!(kinds(&client.ask("")), "IZ");
+}
+
+#[test]
+fn malformed_bytes_end_the_connection_with_the_reason() {
+    let gateway = Stage::new(6).start();
+    for bytes in [&b"Q\xff\xff\xff\xff"[..], b"!\0\0\0\x04", b"Q\0\0\0\x09a\0b\0\0", b"Q\0\0\0\x05a"] {
+        let mut client = gateway.client();
+        client.write(bytes);
+        let last = client.rest();
+        assert_eq!(kinds(&last), "E", "{bytes:?}");
+        assert!(last[0].1.starts_with(b"SFATAL\0"));
+        assert_eq!(field(&last[0].1, b'C'), "08P01");
+    }
+}
+
+#[test]
+fn a_read_that_broke_goes_out_again_and_so_does_a_keyed_write() {
+    for (number, text) in [(7, select("a", "view", 20000)), (8, insert("a", 20000))] {
+        let stage = Stage::new(number);
+        let host = stage.host(vec![Say::Close, Say::Error("25006"), Say::Row(b"v")]);
+        let gateway = stage.list(&[(&host, "up", "primary")]).start();
+        assert_eq!(kinds(&gateway.client().ask(&text)), "TDCZ");
+        let ids = [host.next_query(), host.next_query(), host.next_query()]
+            .map(|seen| seen.split("id=").nth(1).map(|rest| rest[..4].to_string()));
+        assert_eq!(ids, [Some("9b1f".to_string()), Some("9b1f".into()), Some("9b1f".into())]);
+    }
+}
+
+#[test]
+fn a_read_nobody_can_take_is_refused_with_a_hint() {
+    let stage = Stage::new(9);
+    let host = stage.host(vec![]);
+    let gateway = stage.list(&[(&host, "draining", "primary")]).start();
+    let answer = gateway.client().ask(&select("a", "view", 200));
+    assert_eq!((kinds(&answer).as_str(), field(&answer[0].1, b'C').as_str()), ("EZ", "53300"));
+    assert_eq!(field(&answer[0].1, b'D'), "500");
+    assert_eq!(host.queries(), 0);
+}
+
+#[test]
+fn a_write_whose_attempt_may_have_run_fails_and_is_not_refused() {
+    let stage = Stage::new(10);
+    let host = stage.host(vec![Say::Nothing, Say::Nothing]);
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let answer = gateway.client().ask(&insert("a", 2000));
+    assert_eq!((kinds(&answer).as_str(), field(&answer[0].1, b'C').as_str()), ("EZ", "40003"));
+    host.next_query();
+    host.left();
+}
+
+#[test]
+fn a_client_that_leaves_has_its_attempt_called_off() {
+    let stage = Stage::new(11);
+    let host = stage.host(vec![Say::Nothing]);
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let mut client = gateway.client();
+    client.write(&query(&select("a", "view", 3_600_000)));
+    host.next_query();
+    drop(client);
+    host.left();
+}
+
+#[test]
+fn news_of_a_drain_is_heeded_and_bad_news_changes_nothing() {
+    let stage = Stage::new(12);
+    let old = stage.host(vec![]);
+    let new = stage.host((0..20).map(|_| Say::Row(b"new")).collect());
+    let first = stage.entries(&[(&old, "draining", "primary"), (&new, "up", "standby")]);
+    let gateway =
+        stage.news(&[&list(5, true, &first), "{\"revision\":6,\"complete\":true,\"members\":[{}]}", "x"]);
+    let gateway = gateway.start();
+    gateway.wait_for_counter("bad_lists=2");
+    let mut client = gateway.client();
+    for _ in 0..20 {
+        assert_eq!(kinds(&client.ask(&select("a", "view", 20000))), "TDCZ");
+    }
+    assert_eq!((old.queries(), new.queries()), (0, 20));
+}
+
+#[test]
+fn a_watch_that_ends_is_taken_up_again_where_it_stood() {
+    let stage = Stage::new(13);
+    let host = stage.host(vec![]);
+    let entries = stage.entries(&[(&host, "up", "primary")]);
+    let gateway = stage.list(&[(&host, "up", "primary")]).news(&[&list(7, false, &entries)]).start();
+    let first = gateway.next_watch();
+    assert!(first.starts_with("GET /discovery/hosts?watch=1&after=41 HTTP/1.1\r\n"), "{first}");
+    gateway.end_watch();
+    let second = gateway.next_watch();
+    assert!(second.starts_with("GET /discovery/hosts?watch=1&after=7 HTTP/1.1\r\n"), "{second}");
+}
+
+#[test]
+fn more_idle_clients_than_descriptors_make_room_for_the_one_that_asks() {
+    let stage = Stage::new(14);
+    let host = stage.host(vec![Say::Row(b"v")]);
+    let gateway = stage.sockets(50).list(&[(&host, "up", "primary")]).start();
+    let idle: Vec<Client> = (0..30).map(|_| gateway.client()).collect();
+    assert_eq!(kinds(&gateway.client().ask(&select("a", "view", 20000))), "TDCZ");
+    drop(idle);
+}
+
+#[test]
+fn sigterm_ends_idle_clients_and_answers_the_others() {
+    let stage = Stage::new(15);
+    let host = stage.host(vec![Say::WaitForGo(b"late")]);
+    let mut gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let (mut idle, mut busy) = (gateway.client(), gateway.client());
+    busy.write(&query(&select("a", "view", 3_600_000)));
+    host.next_query();
+    gateway.signal("TERM");
+    assert_eq!(kinds(&idle.rest()), "", "closed without a word");
+    host.go();
+    assert_eq!(kinds(&busy.rest()), "TDCZ");
+    let (code, log) = gateway.ended();
+    assert_eq!(code, Some(0), "{log}");
+    assert!(log.contains("requests=1 served=1 refused=0 failed=0"), "{log}");
+}
+
+#[test]
+fn counters_come_on_request() {
+    let gateway = Stage::new(16).start();
+    gateway.client();
+    gateway.wait_for_counter("clients=1");
+}
+
+#[test]
+fn a_bad_start_is_one_plain_sentence() {
+    let stage = Stage::new(17);
+    let good = stage.config();
+    let cases = [
+        ("{".to_string(), "EOF"),
+        (good.replace("\"seed\":\"8c1f\"", "\"seed\":\"spring\""), "seed"),
+        (good.replace("127.77.17.1:5433", "nowhere"), "GW_LISTEN"),
+        (good.replace("127.77.17.1:5433", "127.77.17.1:1"), "cannot listen"),
+        (good.replace("\"mutate\"", "\"sometimes\""), "read_level"),
+        (good.replace("\"attempts_cap\":8", "\"attempts_cap\":0"), "the most attempts"),
+    ];
+    // Only a privileged user may listen there; hold the port, so that nobody can.
+    let _held = std::net::TcpListener::bind("127.77.17.1:1");
+    for (config, cause) in cases {
+        let (code, log) = stage.start_with(&config).ended();
+        assert_eq!(code, Some(2), "{cause}: {log}");
+        assert_eq!(log.lines().count(), 1, "{log}");
+        assert!(log.starts_with("petrelgauge: ") && log.contains(cause), "{log} should name {cause}");
+    }
+}
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,162 @@
+//! The gateway's parsers against random cuts of valid bytes and against random garbage, from fixed seeds.
+
+use bytes::Buf;
+use petrelgauge::net::discovery::Lines;
+use petrelgauge::net::pg::{self, Framer, Gather, Severity, MOST};
+use petrelgauge::net::statement::Statement;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const READ: &str =
+    "SELECT content FROM kv WHERE name = 'it''s /* d=1 */' /* id=9b1f,c=view,d=480,cluster=2 */";
+
+fn check<S: Strategy>(inputs: S, test: impl Fn(S::Value) -> Result<(), TestCaseError>) {
+    let config = Config { cases: 200, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    TestRunner::new_with_rng(config, rng).run(&inputs, test).expect("holds for every case");
+}
+
+/// Whatever the cuts, `parse` finds the same in `valid`; and it neither panics nor grows on garbage, alone
+/// or behind something valid. It takes the pieces as they come and tells what it found.
+fn sturdy<T: PartialEq + std::fmt::Debug>(valid: &[u8], parse: impl Fn(&[&[u8]]) -> T) {
+    let whole = parse(&[valid]);
+    check(vec(0..=valid.len(), 0..12), |mut cuts| {
+        cuts.extend([0, valid.len()]);
+        cuts.sort_unstable();
+        let pieces: Vec<&[u8]> = cuts.windows(2).map(|cut| &valid[cut[0]..cut[1]]).collect();
+        prop_assert_eq!(&parse(&pieces), &whole);
+        Ok(())
+    });
+    check((0..=valid.len(), vec(any::<u8>(), 0..600)), |(keep, garbage)| {
+        parse(&[&valid[..keep], &garbage]);
+        Ok(())
+    });
+}
+
+/// Feeds the pieces and takes what is whole after each, up to the first flaw.
+fn frames<T>(
+    pieces: &[&[u8]],
+    take: impl Fn(&mut Framer) -> Result<Option<T>, pg::Malformed>,
+) -> (Vec<T>, bool) {
+    let (mut framer, mut found) = (Framer::default(), Vec::new());
+    for piece in pieces {
+        framer.buffer().extend_from_slice(piece);
+        loop {
+            match take(&mut framer) {
+                Ok(Some(one)) => found.push(one),
+                Ok(None) => break,
+                Err(_) => return (found, true),
+            }
+        }
+        assert!(framer.buffer().len() <= MOST + piece.len(), "what waits stays bounded");
+    }
+    (found, false)
+}
+
+fn answers() -> Vec<u8> {
+    let mut out = Vec::new();
+    pg::put(&mut out, b'T', |body| body.extend_from_slice(&[0, 1, 2]));
+    pg::put(&mut out, b'D', |body| body.extend_from_slice(&[0, 1, 0, 0, 0, 2, 159, 3]));
+    pg::put_complete(&mut out, "SELECT 1");
+    pg::put(&mut out, b'S', |body| body.extend_from_slice(b"log_position\x001767225600123\0"));
+    pg::put_ready(&mut out);
+    pg::put_error(&mut out, Severity::Error, "72000", "too far behind", Some("500"));
+    pg::put_ready(&mut out);
+    out
+}
+
+#[test]
+fn messages_are_found_whatever_the_cuts() {
+    sturdy(&answers(), |pieces| frames(pieces, Framer::message));
+    assert_eq!(frames(&[&answers()], Framer::message).0.len(), 7);
+}
+
+#[test]
+fn replies_are_put_together_whatever_the_cuts() {
+    let parse = |pieces: &[&[u8]]| {
+        let (messages, _) = frames(pieces, Framer::message);
+        let mut gather = Gather::default();
+        messages.into_iter().map(|message| gather.take(message)).collect::<Vec<_>>()
+    };
+    sturdy(&answers(), parse);
+    let replies: Vec<_> = parse(&[&answers()]).into_iter().flatten().flatten().collect();
+    assert_eq!(replies.len(), 2);
+    assert_eq!(replies[0].told, [("log_position".to_string(), "1767225600123".to_string())]);
+    assert_eq!(replies[1].answer, pg::Answer::Error("72000".into()));
+}
+
+#[test]
+fn openings_are_found_whatever_the_cuts() {
+    let mut out = [0, 0, 0, 8, 4, 210, 22, 47].to_vec();
+    pg::put_startup(&mut out);
+    sturdy(&out, |pieces| frames(pieces, Framer::opening));
+    let found = frames(&[&out], Framer::opening);
+    assert_eq!(found, (vec![pg::Opening::Encryption, pg::Opening::Startup { minor: 0 }], false));
+}
+
+#[test]
+fn a_length_that_no_message_has_is_a_flaw_at_once() {
+    for length in [0u32, 3, MOST as u32 + 1, u32::MAX] {
+        let bytes = [&b"Q"[..], &length.to_be_bytes()].concat();
+        assert!(frames(&[&bytes], Framer::message).1, "{length}");
+        assert!(frames(&[&bytes[1..]], Framer::opening).1, "{length}");
+    }
+}
+
+#[test]
+fn lines_of_a_chunked_answer_are_found_whatever_the_cuts() {
+    let valid = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7;x=y\r\n{\"a\":1}\r\n1\r\n\n\r\n\
+        A\r\n\n{\"b\":2}\n\n\r\n";
+    let parse = |pieces: &[&[u8]]| {
+        let (mut lines, mut found) = (Lines::default(), Vec::new());
+        let ends: Vec<_> = pieces.iter().map(|piece| lines.feed(piece, &mut found)).collect();
+        (found, ends.into_iter().find(Result::is_err))
+    };
+    sturdy(valid, parse);
+    assert_eq!(parse(&[valid]), (vec![b"{\"a\":1}".to_vec(), vec![], b"{\"b\":2}".to_vec(), vec![]], None));
+    assert!(parse(&[b"HTTP/1.1 503 Busy\r\n\r\n"]).1.is_some());
+    assert!(parse(&[b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfoo\r\n"]).1.is_some());
+}
+
+#[test]
+fn a_statement_goes_on_unaltered_but_for_its_wait() {
+    sturdy(READ.as_bytes(), |pieces| Statement::parse(&pieces.concat().into()));
+    let statement = Statement::parse(&READ.into()).expect("a sound statement");
+    assert_eq!((statement.class.as_str(), statement.wait_ms, statement.cluster), ("view", 480, 2));
+    assert_eq!(statement.name, "it''s /* d=1 */");
+    check(any::<u64>(), |wait| {
+        let mut query = statement.query(wait);
+        let length = query.remaining();
+        let bytes = query.copy_to_bytes(length);
+        let (messages, flaw) = frames(&[&bytes], Framer::message);
+        prop_assert!(!flaw && messages.len() == 1);
+        let text = messages[0].text().map_err(|flaw| TestCaseError::fail(flaw.0))?;
+        prop_assert_eq!(text, READ.replace("d=480", &format!("d={wait}")));
+        Ok(())
+    });
+}
+
+#[test]
+fn statements_that_say_too_little_or_too_much_are_named() {
+    let cases = [
+        ("DELETE FROM kv /* id=1,c=view,d=9,cluster=2 */", "only SELECT"),
+        ("SELECT 1 /* id=1,c=view,d=9,cluster=2 */", "quoted key"),
+        ("SELECT 'a'", "no comment"),
+        ("SELECT 'a /* id=1,c=view,d=9,cluster=2 */", "not closed"),
+        ("SELECT 'a' /* id=1,c=view,d=9,cluster=2", "not closed"),
+        ("SELECT 'a' /* id=1,c=view,d=9,cluster=2 */ /* */", "more than one comment"),
+        ("SELECT 'a'; SELECT 'b' /* id=1,c=view,d=9,cluster=2 */", "more than one statement"),
+        ("SELECT 'a' /* c=view,d=9,cluster=2 */", "no id"),
+        ("SELECT 'a' /* id=1,d=9,cluster=2 */", "no c"),
+        ("SELECT 'a' /* id=1,c=view,cluster=2 */", "no d"),
+        ("SELECT 'a' /* id=1,c=view,d=9 */", "no cluster"),
+        ("SELECT 'a' /* id=1,c=view,d=-9,cluster=2 */", "number"),
+        ("SELECT 'a' /* id=1,c=view,d=9,d=9,cluster=2 */", "twice"),
+        ("SELECT 'a' /* id=1,c=view,d,cluster=2 */", "without a value"),
+    ];
+    for (text, cause) in cases {
+        let flaw = Statement::parse(&text.into()).expect_err(text);
+        assert!(flaw.contains(cause), "{text}: {flaw}");
+    }
+}
--- /dev/null
+++ b/tests/stage/mod.rs
@@ -0,0 +1,378 @@
+//! A stage for one gateway: the program itself, and the scripted peers it talks to.
+
+use std::cell::{Cell, RefCell};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread;
+use std::time::Duration;
+
+/// Nothing that works takes so long; what does not work fails then and does not hang.
+const NEVER: Duration = Duration::from_secs(60);
+
+const SETTINGS: &str = r#"{"balancers":1,"zone":"a","granularity_us":5000,"membership_mode":"pushed",
+"bounds":{"attempts_cap":8,"cancel":true,"conn_idle_us":30000000,"connect_timeout_us":250000,
+"max_retry_after_us":500000,"retry_after":true,"probes":false,"second_copies":false},
+"classes":[{"aim_us":4000000,"deadline_us":9000000,"idempotency":"safe","name":"view","points":2.0,
+"late_share":0.2},{"aim_us":4000000,"deadline_us":9000000,"idempotency":"keyed","group":"cell",
+"window_us":30000000,"name":"post","points":4.0,"late_share":0.5}],
+"family_info":{"read_level":["eventual","mutate"],"staleness_bound_us":[0,0],"when_behind":"bounce",
+"shows_role":"trailing","session_marks":"kept","stamps":true},
+"obligations":{"answer_slack_us":20000,"cold_from":0.24,"cold_us":16000000,"drain_grace_us":2000000,
+"fall_us":1000000,"overload_factor":4.0}}"#;
+
+pub fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    [&[kind][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat()
+}
+
+pub fn query(text: &str) -> Vec<u8> {
+    message(b'Q', &[text.as_bytes(), &[0]].concat())
+}
+
+pub fn startup() -> Vec<u8> {
+    let body = b"\0\x03\0\0user\0backend\0database\0store\0\0";
+    [&(body.len() as u32 + 4).to_be_bytes()[..], body].concat()
+}
+
+pub fn select(name: &str, class: &str, wait_ms: u64) -> String {
+    format!("SELECT content FROM kv WHERE name = '{name}' /* id=9b1f,c={class},d={wait_ms},cluster=2 */")
+}
+
+pub fn insert(name: &str, wait_ms: u64) -> String {
+    let comment = format!("/* id=9b1f,c=post,d={wait_ms},k=5c0f,cluster=2 */");
+    format!("INSERT INTO kv (name, content) VALUES ('{name}', '\\x9f03') RETURNING content {comment}")
+}
+
+/// The types of these messages, as one word.
+pub fn kinds(messages: &[(u8, Vec<u8>)]) -> String {
+    messages.iter().map(|(kind, _)| *kind as char).collect()
+}
+
+/// A field of an ErrorResponse.
+pub fn field(body: &[u8], wanted: u8) -> String {
+    let mut fields = body.split(|byte| *byte == 0).filter(|field| field.first() == Some(&wanted));
+    String::from_utf8(fields.next().map_or(vec![], |field| field[1..].to_vec())).expect("text")
+}
+
+pub fn list(revision: u64, complete: bool, entries: &str) -> String {
+    format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":[{entries}]}}")
+}
+
+fn read_message(stream: &mut TcpStream) -> Option<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).ok()?;
+    let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+    let mut body = vec![0; length - 4];
+    stream.read_exact(&mut body).ok()?;
+    Some((head[0], body))
+}
+
+/// What a scripted host does with a query.
+pub enum Say {
+    Row(&'static [u8]),
+    WaitForGo(&'static [u8]),
+    Error(&'static str),
+    Close,
+    Nothing,
+}
+
+/// A database host that takes one query after the other from its script.
+pub struct Host {
+    address: String,
+    seen: Receiver<String>,
+    ended: Receiver<()>,
+    go: Sender<()>,
+    count: Cell<usize>,
+}
+
+impl Host {
+    fn start(ip: &str, script: Vec<Say>) -> Host {
+        let listener = TcpListener::bind((ip, 0)).expect("a free port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let ((saw, seen), (end, ended), (go, gone)) = (channel(), channel(), channel());
+        // One connection after the other: no test needs two at a host at once.
+        thread::spawn(move || {
+            let mut script = script.into_iter();
+            for stream in listener.incoming() {
+                serve(stream.expect("a connection"), &mut script, &saw, &gone);
+                let _ = end.send(());
+            }
+        });
+        Host { address, seen, ended, go, count: Cell::new(0) }
+    }
+
+    /// The next query that it got.
+    pub fn next_query(&self) -> String {
+        self.count.set(self.count.get() + 1);
+        self.seen.recv_timeout(NEVER).expect("a query arrives")
+    }
+
+    /// How many it got in all.
+    pub fn queries(&self) -> usize {
+        self.count.get() + self.seen.try_iter().count()
+    }
+
+    /// A connection to it has ended.
+    pub fn left(&self) {
+        self.ended.recv_timeout(NEVER).expect("the gateway closes");
+    }
+
+    pub fn go(&self) {
+        self.go.send(()).expect("it waits");
+    }
+}
+
+fn serve(
+    mut stream: TcpStream,
+    script: &mut impl Iterator<Item = Say>,
+    saw: &Sender<String>,
+    go: &Receiver<()>,
+) {
+    let mut length = [0; 4];
+    if stream.read_exact(&mut length).is_err() {
+        return;
+    }
+    let mut rest = vec![0; u32::from_be_bytes(length) as usize - 4];
+    stream.read_exact(&mut rest).expect("a startup message");
+    let ready = message(b'Z', b"I");
+    let welcome = [message(b'R', &[0; 4]), ready.clone()].concat();
+    stream.write_all(&welcome).expect("it is read");
+    while let Some((kind, body)) = read_message(&mut stream) {
+        assert_eq!(kind, b'Q', "only simple queries");
+        let _ = saw.send(String::from_utf8_lossy(&body[..body.len() - 1]).into_owned());
+        let answer = match script.next() {
+            Some(Say::Row(value)) => row(value),
+            Some(Say::WaitForGo(value)) => {
+                go.recv_timeout(NEVER).expect("it may go on");
+                row(value)
+            }
+            Some(Say::Error(code)) => message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes()),
+            Some(Say::Nothing) => continue,
+            Some(Say::Close) | None => return,
+        };
+        let told = message(b'S', b"replication_role\0primary\0");
+        if stream.write_all(&[answer, told, ready.clone()].concat()).is_err() {
+            return;
+        }
+    }
+}
+
+fn row(value: &[u8]) -> Vec<u8> {
+    let description = message(b'T', b"\0\x01content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01");
+    let data = [&[0, 1][..], &(value.len() as u32).to_be_bytes(), value].concat();
+    [description, message(b'D', &data), message(b'C', b"SELECT 1\0")].concat()
+}
+
+/// What a test sets up before the gateway starts.
+pub struct Stage {
+    ip: String,
+    discovery: TcpListener,
+    known: String,
+    news: Vec<String>,
+    sockets: usize,
+}
+
+impl Stage {
+    /// Each test has a number, and with it an address, of its own.
+    pub fn new(number: u8) -> Stage {
+        let ip = format!("127.77.{number}.1");
+        let discovery = TcpListener::bind((ip.as_str(), 0)).expect("a free port");
+        Stage { ip, discovery, known: String::new(), news: Vec::new(), sockets: 1024 }
+    }
+
+    pub fn host(&self, script: Vec<Say>) -> Host {
+        Host::start(&self.ip, script)
+    }
+
+    pub fn entries(&self, hosts: &[(&Host, &str, &str)]) -> String {
+        let entry = |(place, (host, phase, role)): (usize, &(&Host, &str, &str))| {
+            let address = &host.address;
+            format!(
+                r#"{{"id":"s-{place}","host_port":"{address}","locality":"a","cell":2,"phase":"{phase}","replication":"{role}","size":1.0,"up_since_ms":0}}"#
+            )
+        };
+        hosts.iter().enumerate().map(entry).collect::<Vec<_>>().join(",")
+    }
+
+    /// What the gateway knows at its start.
+    pub fn list(mut self, hosts: &[(&Host, &str, &str)]) -> Stage {
+        self.known = self.entries(hosts);
+        self
+    }
+
+    /// The lines that the first watch brings.
+    pub fn news(mut self, lines: &[&str]) -> Stage {
+        self.news = lines.iter().map(|line| line.to_string()).collect();
+        self
+    }
+
+    pub fn sockets(mut self, sockets: usize) -> Stage {
+        self.sockets = sockets;
+        self
+    }
+
+    pub fn config(&self) -> String {
+        let (ip, sockets, known) = (&self.ip, self.sockets, list(41, true, &self.known));
+        let discovery = self.discovery.local_addr().expect("an address");
+        format!(
+            r#"{{"name":"n0","listen":"{ip}:5433","discovery":"{discovery}","seed":"8c1f","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
+        )
+    }
+
+    /// Starts the program with this configuration; it need not come up.
+    pub fn start_with(&self, config: &str) -> Gateway {
+        let path = format!("{}/{}.json", env!("CARGO_TARGET_TMPDIR"), self.ip);
+        std::fs::write(&path, config).expect("a place to write");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_petrelgauge"))
+            .env("GW_CONFIG", path)
+            .env_remove("RUST_LOG")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the gateway starts");
+        let log = BufReader::new(child.stderr.take().expect("its log"));
+        let (watches, end_watch) = (channel().1, channel().0);
+        Gateway { child, log: RefCell::new(log), address: format!("{}:5433", self.ip), watches, end_watch }
+    }
+
+    /// Starts the program and waits until it serves.
+    pub fn start(self) -> Gateway {
+        let mut gateway = self.start_with(&self.config());
+        gateway.line_with("serves at");
+        let ((saw, watches), (end_watch, ends)) = (channel(), channel());
+        (gateway.watches, gateway.end_watch) = (watches, end_watch);
+        let mut news = self.news;
+        thread::spawn(move || {
+            for stream in self.discovery.incoming() {
+                watch(stream.expect("a watch"), &std::mem::take(&mut news), &saw, &ends);
+            }
+        });
+        gateway
+    }
+}
+
+/// Serves one watch: its news at once, then the empty line that shows that it lives.
+fn watch(mut stream: TcpStream, news: &[String], saw: &Sender<String>, ends: &Receiver<()>) {
+    let mut head = String::new();
+    let mut lines = BufReader::new(stream.try_clone().expect("a second handle"));
+    while !head.ends_with("\r\n\r\n") {
+        if lines.read_line(&mut head).unwrap_or(0) == 0 {
+            return;
+        }
+    }
+    let _ = saw.send(head);
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for line in news {
+        let _ = stream.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes());
+    }
+    while stream.write_all(b"1\r\n\n\r\n").is_ok() && ends.recv_timeout(Duration::from_secs(1)).is_err() {}
+}
+
+/// The program, as it runs.
+pub struct Gateway {
+    child: Child,
+    log: RefCell<BufReader<std::process::ChildStderr>>,
+    address: String,
+    watches: Receiver<String>,
+    end_watch: Sender<()>,
+}
+
+impl Gateway {
+    pub fn raw_client(&self) -> Client {
+        let stream = TcpStream::connect(&self.address).expect("it accepts");
+        stream.set_read_timeout(Some(NEVER)).expect("a limit");
+        Client(stream)
+    }
+
+    /// A client that is admitted.
+    pub fn client(&self) -> Client {
+        let mut client = self.raw_client();
+        client.write(&startup());
+        client.until_ready();
+        client
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args([&format!("-{name}"), &id]).status().expect("kill is there");
+        assert!(sent.success());
+    }
+
+    /// Waits for a line of the log that holds this text.
+    fn line_with(&self, text: &str) -> String {
+        let mut log = self.log.borrow_mut();
+        loop {
+            let mut line = String::new();
+            assert!(log.read_line(&mut line).expect("its log") > 0, "it ended before it said {text:?}");
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    /// Asks for the counters until they hold this text.
+    pub fn wait_for_counter(&self, text: &str) {
+        loop {
+            self.signal("USR1");
+            if self.line_with("requests=").contains(text) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// The head of the next watch that it begins.
+    pub fn next_watch(&self) -> String {
+        self.watches.recv_timeout(NEVER).expect("it watches")
+    }
+
+    pub fn end_watch(&self) {
+        self.end_watch.send(()).expect("a watch is open");
+    }
+
+    /// Waits for its end: its code and the rest of its log.
+    pub fn ended(&mut self) -> (Option<i32>, String) {
+        let mut log = String::new();
+        self.log.borrow_mut().read_to_string(&mut log).expect("its log");
+        (self.child.wait().expect("it ends").code(), log)
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A client's connection.
+pub struct Client(TcpStream);
+
+impl Client {
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).expect("it is read");
+    }
+
+    pub fn bytes(&mut self, count: usize) -> Vec<u8> {
+        let mut bytes = vec![0; count];
+        self.0.read_exact(&mut bytes).expect("so many bytes");
+        bytes
+    }
+
+    pub fn until_ready(&mut self) -> Vec<(u8, Vec<u8>)> {
+        let mut messages = Vec::new();
+        while messages.last().is_none_or(|(kind, _)| *kind != b'Z') {
+            messages.push(read_message(&mut self.0).expect("a message"));
+        }
+        messages
+    }
+
+    pub fn rest(&mut self) -> Vec<(u8, Vec<u8>)> {
+        std::iter::from_fn(|| read_message(&mut self.0)).collect()
+    }
+
+    pub fn ask(&mut self, text: &str) -> Vec<(u8, Vec<u8>)> {
+        self.write(&query(text));
+        self.until_ready()
+    }
+}
