Test that a write is refused only if it provably never ran

Swapping the endings of a connection broken before and after the last byte was not noticed by any test. Five gateways side by side now end a keyed write in five ways; the swap fails the test.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -132,6 +132,31 @@
     host.left();
 }
 
+// What an ending proves decides what the client may be told: a refusal says that trying again is harmless.
+#[test]
+fn a_write_that_never_ran_is_refused_and_one_that_may_have_run_fails() {
+    let endless = |say: fn() -> Say| std::iter::repeat_with(say).take(8).collect::<Vec<_>>();
+    let cases = [
+        (18, Some(endless(|| Say::Close)), "40003"),
+        (19, Some(endless(|| Say::Error("XX000"))), "40003"),
+        (20, Some(endless(|| Say::Error("53300"))), "53300"),
+        (21, Some(endless(|| Say::Error("25006"))), "53300"),
+        // Nobody listens there any more.
+        (22, None, "53300"),
+    ];
+    std::thread::scope(|scope| {
+        for (number, script, code) in cases {
+            scope.spawn(move || {
+                let stage = Stage::new(number);
+                let host = script.map_or_else(|| stage.closed_host(), |script| stage.host(script));
+                let gateway = stage.list(&[(&host, "up", "primary")]).start();
+                let answer = gateway.client().ask(&insert("a", 2000));
+                assert_eq!((kinds(&answer).as_str(), field(&answer[0].1, b'C').as_str()), ("EZ", code));
+            });
+        }
+    });
+}
+
 #[test]
 fn a_client_that_leaves_has_its_attempt_called_off() {
     let stage = Stage::new(11);
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -185,6 +185,13 @@
         Host::start(&self.ip, script)
     }
 
+    /// A host at whose address nobody listens.
+    pub fn closed_host(&self) -> Host {
+        let listener = TcpListener::bind((self.ip.as_str(), 0)).expect("a free port");
+        let address = listener.local_addr().expect("an address").to_string();
+        Host { address, seen: channel().1, ended: channel().1, go: channel().0, count: Cell::new(0) }
+    }
+
     pub fn entries(&self, hosts: &[(&Host, &str, &str)]) -> String {
         let entry = |(place, (host, phase, role)): (usize, &(&Host, &str, &str))| {
             let address = &host.address;
