Count sessions and attempts with guards, and say repeated failures once

Found by reading the code, not by a run: a session or attempt that panicked was never counted out, so that the gateway would not have ended after SIGTERM; and a row of failed accepts, or discovery being down, was logged at every try (up to 500 and 5 lines a second).

New test: a pooled connection is used again and is closed when its host starts anew. The socket tests listen on ports that were free a moment ago, since two runs side by side met on the fixed one; six runs at once now pass.

Checked: make test.

--- a/src/main.rs
+++ b/src/main.rs
@@ -5,12 +5,11 @@
 use petrelgauge::net::budget::Budget;
 use petrelgauge::net::clock::Clock;
 use petrelgauge::net::config::Config;
-use petrelgauge::net::counters::Counters;
+use petrelgauge::net::counters::{Counters, Gauge};
 use petrelgauge::net::discovery::Follower;
 use petrelgauge::net::front::Front;
 use petrelgauge::net::hosts::Hosts;
 use petrelgauge::Time;
-use std::cell::Cell;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpSocket};
@@ -72,7 +71,7 @@
         counters: counters.clone(),
         classes,
         stopping,
-        open: Cell::new(0),
+        open: Gauge::default(),
     });
     tasks.spawn_local(front.clone().accept(listener));
     log::info!("{} serves at {}", config.name, config.listen);
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -72,6 +72,33 @@
     }
 }
 
+/// How many there are right now.
+#[derive(Default)]
+pub struct Gauge(Cell<usize>);
+
+impl Gauge {
+    /// One more, for as long as the guard lives: also a task that panics is counted out again.
+    pub fn enter(&self) -> Entered<'_> {
+        self.0.set(self.0.get() + 1);
+        Entered(self)
+    }
+
+    /// So many.
+    pub fn get(&self) -> usize {
+        self.0.get()
+    }
+}
+
+/// One that is there.
+pub struct Entered<'a>(&'a Gauge);
+
+impl Drop for Entered<'_> {
+    fn drop(&mut self) {
+        let Gauge(count) = self.0;
+        count.set(count.get() - 1);
+    }
+}
+
 impl Counters {
     /// A connection or an attempt ended.
     pub fn ended(&self, end: End) {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -81,10 +81,15 @@
 
     /// Keeps a watch open for good.
     pub async fn follow(mut self, address: SocketAddr, clock: Clock) {
+        let mut last = String::new();
         loop {
             self.counters.watches.add();
             let cause = self.watch(address, clock).await.err().unwrap_or_default();
-            log::warn!("the watch of discovery ended: {cause}; the last list still holds");
+            // While discovery is down the same is said once, not at every try.
+            if cause != last {
+                log::warn!("the watch of discovery ended: {cause}; the last list still holds");
+                last = cause;
+            }
             clock.sleep_until(clock.now() + PAUSE).await;
         }
     }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -3,14 +3,13 @@
 use crate::facade::{Decision, Facade, Request};
 use crate::net::budget::Budget;
 use crate::net::clock::Clock;
-use crate::net::counters::Counters;
+use crate::net::counters::{Counters, Gauge};
 use crate::net::ending::End;
 use crate::net::hosts::Hosts;
 use crate::net::pg::{self, Framer, Message, Opening, Severity};
 use crate::net::statement::{self, Statement};
 use crate::{Class, Effect, Need, Time};
 use bytes::Bytes;
-use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -45,14 +44,14 @@
     /// Turns true when idle clients are to be closed.
     pub stopping: watch::Receiver<bool>,
     /// Sessions that are open.
-    pub open: Cell<usize>,
+    pub open: Gauge,
 }
 
 impl Front {
     /// Accepts clients until the gateway stops. It never pauses: what waits in the kernel's backlog counts
     /// as taken, and so what is there goes before the stop.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let mut number = 0u32;
+        let (mut number, mut failing) = (0u32, false);
         let mut stopping = self.stopping.clone();
         loop {
             let accepted = tokio::select! {
@@ -63,6 +62,7 @@
             match accepted {
                 Ok((stream, _)) => {
                     number = number.wrapping_add(1);
+                    failing = false;
                     self.counters.clients.add();
                     if self.budget.spent() && !self.hosts.shed() && self.budget.shed_client() {
                         self.counters.sheds.add();
@@ -70,7 +70,10 @@
                     tokio::task::spawn_local(self.clone().serve(stream, number));
                 }
                 Err(cause) => {
-                    log::warn!("cannot accept a client: {cause}");
+                    // Once for each row of failures: they come by the hundred.
+                    if !std::mem::replace(&mut failing, true) {
+                        log::warn!("cannot accept a client: {cause}");
+                    }
                     if !self.hosts.shed() {
                         self.budget.shed_client();
                     }
@@ -81,8 +84,7 @@
     }
 
     async fn serve(self: Rc<Self>, mut stream: TcpStream, number: u32) {
-        let slot = self.budget.take();
-        self.open.set(self.open.get() + 1);
+        let (_open, _slot) = (self.open.enter(), self.budget.take());
         let _ = stream.set_nodelay(true);
         let (reader, writer) = stream.split();
         let mut session = Session {
@@ -95,9 +97,6 @@
         let end = session.run(number).await;
         log::debug!("client {number} ended: {end:?}");
         self.counters.ended(end);
-        drop(stream);
-        drop(slot);
-        self.open.set(self.open.get() - 1);
     }
 }
 
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -3,7 +3,7 @@
 use crate::facade::{Attempt, Outcome};
 use crate::net::budget::{Budget, Slot};
 use crate::net::clock::Clock;
-use crate::net::counters::Counters;
+use crate::net::counters::{Counters, Gauge};
 use crate::net::ending::End;
 use crate::net::pg::{self, Answer, Framer, Gather, Message, Reply};
 use crate::net::statement::Statement;
@@ -50,7 +50,7 @@
     connect_span: Time,
     /// An idle connection is closed after this span.
     keep: Time,
-    out: Cell<usize>,
+    out: Gauge,
 }
 
 impl Hosts {
@@ -71,7 +71,7 @@
             connect_span,
             // Well before the host does it: a request that crosses its closing would end as a reset.
             keep: idle_span / 4 * 3,
-            out: Cell::new(0),
+            out: Gauge::default(),
         })
     }
 
@@ -130,7 +130,7 @@
         statement: Rc<Statement>,
     ) -> Option<Vec<Bytes>> {
         self.counters.attempts.add();
-        self.out.set(self.out.get() + 1);
+        let _out = self.out.enter();
         let written = Cell::new(false);
         let (host, until) = (attempt.host, attempt.until);
         let tried = tokio::select! {
@@ -143,7 +143,6 @@
         };
         // By now an abandoned connection is closed: the exchange that held it is gone. Only then may the
         // outcome be told, or a second copy could go out beside the first.
-        self.out.set(self.out.get() - 1);
         let (end, outcome, row) = match tried {
             Ok(reply) => judge(reply),
             Err(end) => (end, Outcome::silent(end.for_decisions()), None),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -186,6 +186,23 @@
     assert_eq!((old.queries(), new.queries()), (0, 20));
 }
 
+// A connection that outlived its host's last run, or moved with it, ends as a reset when it is used.
+#[test]
+fn connections_are_used_again_until_their_host_starts_anew() {
+    let stage = Stage::new(23);
+    let host = stage.host(vec![Say::Row(b"one"), Say::Row(b"two"), Say::Row(b"three")]);
+    let anew = stage.entries(&[(&host, "up", "primary")]).replace("ms\":0", "ms\":1000");
+    let gateway = stage.list(&[(&host, "up", "primary")]).later(&[&list(42, false, &anew)]).start();
+    let mut client = gateway.client();
+    client.ask(&select("a", "view", 20000));
+    client.ask(&select("a", "view", 20000));
+    gateway.wait_for_counter("host_connects=1 ");
+    gateway.tell_later();
+    host.left();
+    assert_eq!(kinds(&client.ask(&select("a", "view", 20000))), "TDCZ");
+    gateway.wait_for_counter("host_connects=2 ");
+}
+
 #[test]
 fn a_watch_that_ends_is_taken_up_again_where_it_stood() {
     let stage = Stage::new(13);
@@ -237,16 +254,16 @@
 fn a_bad_start_is_one_plain_sentence() {
     let stage = Stage::new(17);
     let good = stage.config();
+    let held = std::net::TcpListener::bind("127.77.17.1:0").expect("a free port");
+    let taken = held.local_addr().expect("an address").to_string();
     let cases = [
         ("{".to_string(), "EOF"),
         (good.replace("\"seed\":\"8c1f\"", "\"seed\":\"spring\""), "seed"),
-        (good.replace("127.77.17.1:5433", "nowhere"), "GW_LISTEN"),
-        (good.replace("127.77.17.1:5433", "127.77.17.1:1"), "cannot listen"),
+        (good.replace(&stage.listen, "nowhere"), "GW_LISTEN"),
+        (good.replace(&stage.listen, &taken), "cannot listen"),
         (good.replace("\"mutate\"", "\"sometimes\""), "read_level"),
         (good.replace("\"attempts_cap\":8", "\"attempts_cap\":0"), "the most attempts"),
     ];
-    // Only a privileged user may listen there; hold the port, so that nobody can.
-    let _held = std::net::TcpListener::bind("127.77.17.1:1");
     for (config, cause) in cases {
         let (code, log) = stage.start_with(&config).ended();
         assert_eq!(code, Some(2), "{cause}: {log}");
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -167,9 +167,12 @@
 /// What a test sets up before the gateway starts.
 pub struct Stage {
     ip: String,
+    /// Where the gateway is to listen.
+    pub listen: String,
     discovery: TcpListener,
     known: String,
     news: Vec<String>,
+    later: Vec<String>,
     sockets: usize,
 }
 
@@ -178,7 +181,18 @@
     pub fn new(number: u8) -> Stage {
         let ip = format!("127.77.{number}.1");
         let discovery = TcpListener::bind((ip.as_str(), 0)).expect("a free port");
-        Stage { ip, discovery, known: String::new(), news: Vec::new(), sockets: 1024 }
+        // Free a moment ago, so that two runs of the tests side by side do not meet.
+        let free = TcpListener::bind((ip.as_str(), 0)).expect("a free port");
+        let listen = free.local_addr().expect("an address").to_string();
+        Stage {
+            ip,
+            listen,
+            discovery,
+            known: String::new(),
+            news: Vec::new(),
+            later: Vec::new(),
+            sockets: 1024,
+        }
     }
 
     pub fn host(&self, script: Vec<Say>) -> Host {
@@ -208,6 +222,12 @@
         self
     }
 
+    /// The lines that the first watch brings when the test says so.
+    pub fn later(mut self, lines: &[&str]) -> Stage {
+        self.later = lines.iter().map(|line| line.to_string()).collect();
+        self
+    }
+
     /// The lines that the first watch brings.
     pub fn news(mut self, lines: &[&str]) -> Stage {
         self.news = lines.iter().map(|line| line.to_string()).collect();
@@ -220,16 +240,16 @@
     }
 
     pub fn config(&self) -> String {
-        let (ip, sockets, known) = (&self.ip, self.sockets, list(41, true, &self.known));
+        let (listen, sockets, known) = (&self.listen, self.sockets, list(41, true, &self.known));
         let discovery = self.discovery.local_addr().expect("an address");
         format!(
-            r#"{{"name":"n0","listen":"{ip}:5433","discovery":"{discovery}","seed":"8c1f","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
         )
     }
 
     /// Starts the program with this configuration; it need not come up.
     pub fn start_with(&self, config: &str) -> Gateway {
-        let path = format!("{}/{}.json", env!("CARGO_TARGET_TMPDIR"), self.ip);
+        let path = format!("{}/{}.json", env!("CARGO_TARGET_TMPDIR"), self.listen);
         std::fs::write(&path, config).expect("a place to write");
         let mut child = Command::new(env!("CARGO_BIN_EXE_petrelgauge"))
             .env("GW_CONFIG", path)
@@ -239,7 +259,7 @@
             .expect("the gateway starts");
         let log = BufReader::new(child.stderr.take().expect("its log"));
         let (watches, end_watch) = (channel().1, channel().0);
-        Gateway { child, log: RefCell::new(log), address: format!("{}:5433", self.ip), watches, end_watch }
+        Gateway { child, log: RefCell::new(log), address: self.listen.clone(), watches, end_watch }
     }
 
     /// Starts the program and waits until it serves.
@@ -248,18 +268,20 @@
         gateway.line_with("serves at");
         let ((saw, watches), (end_watch, ends)) = (channel(), channel());
         (gateway.watches, gateway.end_watch) = (watches, end_watch);
-        let mut news = self.news;
+        let (mut news, mut later) = (self.news, self.later);
         thread::spawn(move || {
             for stream in self.discovery.incoming() {
-                watch(stream.expect("a watch"), &std::mem::take(&mut news), &saw, &ends);
+                let (news, later) = (std::mem::take(&mut news), std::mem::take(&mut later));
+                watch(stream.expect("a watch"), [news, later], &saw, &ends);
             }
         });
         gateway
     }
 }
 
-/// Serves one watch: its news at once, then the empty line that shows that it lives.
-fn watch(mut stream: TcpStream, news: &[String], saw: &Sender<String>, ends: &Receiver<()>) {
+/// Serves one watch: its news at once, more when the test says so, and the empty line that shows that it
+/// lives. When the test says so again, it ends.
+fn watch(mut stream: TcpStream, news: [Vec<String>; 2], saw: &Sender<String>, ends: &Receiver<()>) {
     let mut head = String::new();
     let mut lines = BufReader::new(stream.try_clone().expect("a second handle"));
     while !head.ends_with("\r\n\r\n") {
@@ -269,10 +291,24 @@
     }
     let _ = saw.send(head);
     let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    for line in news {
+    let [news, later] = news;
+    tell(&mut stream, &news);
+    if !later.is_empty() {
+        beat(&mut stream, ends);
+        tell(&mut stream, &later);
+    }
+    beat(&mut stream, ends);
+}
+
+fn tell(stream: &mut TcpStream, lines: &[String]) {
+    for line in lines {
         let _ = stream.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes());
     }
-    while stream.write_all(b"1\r\n\n\r\n").is_ok() && ends.recv_timeout(Duration::from_secs(1)).is_err() {}
+}
+
+/// Writes the empty line until the test says that it goes on.
+fn beat(stream: &mut TcpStream, go_on: &Receiver<()>) {
+    while stream.write_all(b"1\r\n\n\r\n").is_ok() && go_on.recv_timeout(Duration::from_secs(1)).is_err() {}
 }
 
 /// The program, as it runs.
@@ -333,6 +369,11 @@
         self.watches.recv_timeout(NEVER).expect("it watches")
     }
 
+    /// Lets the watch bring what was kept for later.
+    pub fn tell_later(&self) {
+        self.end_watch();
+    }
+
     pub fn end_watch(&self) {
         self.end_watch.send(()).expect("a watch is open");
     }
