Count a client's descriptor when it is accepted

Seen in the code: the slot was taken when the session's task first ran, so of many clients accepted in one go none saw the others, and fewer idle host connections were shed than there was need for. It is now taken in Front::accept.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,7 +1,7 @@
 //! Client sessions: PostgreSQL's simple queries in, one final answer out for each.
 
 use crate::facade::{Decision, Facade, Request};
-use crate::net::budget::Budget;
+use crate::net::budget::{Budget, Slot};
 use crate::net::clock::Clock;
 use crate::net::counters::{Counters, Gauge};
 use crate::net::ending::End;
@@ -67,7 +67,9 @@
                     if self.budget.spent() && !self.hosts.shed() && self.budget.shed_client() {
                         self.counters.sheds.add();
                     }
-                    tokio::task::spawn_local(self.clone().serve(stream, number));
+                    // Counted here: of many that come at once, each must see those before it.
+                    let slot = self.budget.take();
+                    tokio::task::spawn_local(self.clone().serve(stream, number, slot));
                 }
                 Err(cause) => {
                     // Once for each row of failures: they come by the hundred.
@@ -83,8 +85,8 @@
         }
     }
 
-    async fn serve(self: Rc<Self>, mut stream: TcpStream, number: u32) {
-        let (_open, _slot) = (self.open.enter(), self.budget.take());
+    async fn serve(self: Rc<Self>, mut stream: TcpStream, number: u32, _slot: Slot) {
+        let _open = self.open.enter();
         let _ = stream.set_nodelay(true);
         let (reader, writer) = stream.split();
         let mut session = Session {
