--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -37,6 +37,20 @@
     assert!((1..=5000).contains(&digits.parse::<u64>().expect("a number")), "{digits}");
 }
 
+#[test]
+fn the_largest_values_pass_both_ways() {
+    static VALUE: [u8; 65536] = [b'v'; 65536];
+    let stage = Stage::new(24);
+    let host = stage.host(vec![Say::Row(&VALUE), Say::Row(&VALUE)]);
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let mut client = gateway.client();
+    assert!(client.ask(&select("a", "view", 20000))[1].1.ends_with(&VALUE));
+    host.next_query();
+    let text = insert("a", 20000).replace("9f03", &"9f".repeat(65536));
+    assert_eq!(kinds(&client.ask(&text)), "TDCZ");
+    assert_eq!(host.next_query().split(",d=").next(), text.split(",d=").next());
+}
+
 #[test]
 fn pipelined_queries_are_answered_in_order() {
     let stage = Stage::new(3);
