Try a silent member again after one longest aim instead of two

Guessed first that pooled connections stay dead after the cut. Ruled out with the attempts logged (not committed): every first attempt after it went over a new connection and was answered; none of the late time-outs was on an old one. The log shows the cause: two gateways heard the last time-out of the primary at 15 s and sent to it again at 23 s. Router::watch_health clears a suspect that may not be probed after 4 times its silence, half the longest aim: 8 s here.

Now 2 times, 4 s. A dead member costs an attempt or two twice as often. New test; it fails with 4.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -637,7 +637,7 @@
             }
             let pause = if member.down { 2 * silence } else { silence / 4 };
             let doubted = member.suspect || member.down;
-            if doubted && !self.probe(id, pause) && now - awaited > 4 * silence {
+            if doubted && !self.probe(id, pause) && now - awaited > 2 * silence {
                 // Without a probe to spend, time alone proves a suspect well enough for one more try.
                 if let Some(member) = self.members.get_mut(&id).filter(|m| m.suspect && !m.probe_out) {
                     member.suspect = false;
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -461,3 +461,24 @@
     assert!((150 * MS..=200 * MS).contains(&read), "the read ended after {read}");
     assert!(ends_after(4) > 300 * MS, "the write did not wait");
 }
+
+// After a cut between the data centres a silent primary stayed out of use for twice as long as now.
+#[test]
+fn a_silent_primary_that_may_not_be_probed_is_tried_again_soon() {
+    let mut stage = Stage::new(Settings { may_probe: false, ..settings() });
+    assert_eq!(sent_to(&stage.ask("lost", 5, 300 * MS)), Some(1));
+    (0..60).for_each(|_| drop(stage.wait(5 * MS)));
+    stage.end("lost", 0, 1, Ending::TimedOut);
+    let mut actions = stage.ask("next", 5, 900 * MS);
+    let (mut steps, mut attempt) = (0, 0);
+    while sent_to(&actions) != Some(1) && steps < 150 {
+        if let Some(other) = sent_to(&actions) {
+            stage.end_as("next", attempt, other, Ending::TurnedAway, None, Some(Role::Replica));
+            attempt += 1;
+        }
+        actions = stage.wait(5 * MS);
+        steps += 1;
+    }
+    let span = steps * 5 * MS;
+    assert!(span > 100 * MS && span < 450 * MS, "tried again after {span}");
+}
