Keep a missing row in the table of endings from ending the gateway

Counters::ended indexed the table directly: a new ending left out of End::ALL would have panicked a session.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
-//! petrelgauge decides for a client library that routes reads and writes in a replicated store: which
-//! member of a group gets a request, when to wait, when to try again and when to refuse.
+//! petrelgauge routes reads and writes in a replicated store: it decides which member of a group gets a
+//! request, when to wait, when to try again and when to refuse. The gateway that serves clients with these
+//! decisions is in [`net`]; between them stands the [`facade`], which knows no protocol.
 //!
 //! A [`Router`] is a plain state machine. It has no clock, no threads and does no I/O: the embedding
 //! program calls [`Router::step`] once for each batch of events and carries out the actions it gets back.
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -102,6 +102,9 @@
 impl Counters {
     /// A connection or an attempt ended.
     pub fn ended(&self, end: End) {
-        self.ends[end as usize].add();
+        // A way to end that the table lacks must not end the gateway.
+        if let Some(count) = self.ends.get(end as usize) {
+            count.add();
+        }
     }
 }
