Read the configuration again on SIGHUP and move the watch of discovery

The lines at fault are those of main.rs that listen to signals: SIGHUP had no handler.

Now the file is read and validated again. Only the address of discovery moves: the watch at the old one is dropped and the new one asked for its whole list, since nothing says that two sources count revisions alike; the list stays until it speaks. GW_DISCOVERY still names the old address, so on reload the file goes first. A file that cannot be used is logged, counted and changes nothing.

The new test fails without the change, with the process killed by the signal.

--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,7 @@
 use petrelgauge::net::front::Front;
 use petrelgauge::net::hosts::Hosts;
 use petrelgauge::Time;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpSocket};
@@ -56,11 +57,16 @@
     let follower = Follower::new(facade.clone(), hosts.clone(), counters.clone(), config.known);
     let (stop, stopping) = watch::channel(false);
     let listener = listen(config.listen).map_err(|cause| format!("cannot listen: {cause}"))?;
-    let (mut term, mut interrupt, mut usr1) =
-        (on(SignalKind::terminate())?, on(SignalKind::interrupt())?, on(SignalKind::user_defined1())?);
+    let (mut term, mut interrupt, mut usr1, mut hangup) = (
+        on(SignalKind::terminate())?,
+        on(SignalKind::interrupt())?,
+        on(SignalKind::user_defined1())?,
+        on(SignalKind::hangup())?,
+    );
+    let (discovery, moved) = watch::channel(config.discovery);
 
     let mut tasks = JoinSet::new();
-    tasks.spawn_local(follower.follow(config.discovery, clock));
+    tasks.spawn_local(follower.follow(moved, clock));
     tasks.spawn_local(keep_time(facade.clone(), clock));
     tasks.spawn_local(keep_clean(hosts.clone(), clock));
     let front = Rc::new(Front {
@@ -79,6 +85,7 @@
     loop {
         tokio::select! {
             _ = usr1.recv() => log::info!("{counters}"),
+            _ = hangup.recv() => reload(&discovery, &counters),
             _ = term.recv() => break,
             _ = interrupt.recv() => break,
             // None of them ends by itself. Without one the gateway would go on and serve nobody.
@@ -95,7 +102,7 @@
     Ok(())
 }
 
-fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // A gateway that starts again finds connections of its last run still winding up.
     socket.set_reuseaddr(true)?;
@@ -107,6 +114,23 @@
     signal(kind).map_err(|cause| format!("cannot listen to signals: {cause}"))
 }
 
+/// Reads the configuration again. Only the address of discovery may move while the gateway runs; a file that
+/// cannot be used changes nothing.
+fn reload(discovery: &watch::Sender<SocketAddr>, counters: &Counters) {
+    match Config::reread(|name| std::env::var(name).ok()) {
+        Ok(config) => {
+            counters.reloads.add();
+            log::info!("configuration read again, discovery is at {}", config.discovery);
+            discovery
+                .send_if_modified(|address| std::mem::replace(address, config.discovery) != config.discovery);
+        }
+        Err(cause) => {
+            counters.bad_configs.add();
+            log::warn!("the new configuration cannot be used, the old one holds: {cause}");
+        }
+    }
+}
+
 /// Steps the decisions when something came in or a timer is due.
 async fn keep_time(facade: Facade, clock: Clock) {
     loop {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -52,31 +52,50 @@
     1024
 }
 
+/// Which goes first where both name a value.
+#[derive(Clone, Copy, PartialEq)]
+enum First {
+    Environment,
+    File,
+}
+
 impl Config {
     /// Reads the environment through `var` and the file that `GW_CONFIG` names. What the environment sets
     /// goes before the file. The cause of a failure is one plain sentence.
     pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        Config::load(var, First::Environment)
+    }
+
+    /// Reads the file anew while the program runs. The environment still is that of the start, so that for
+    /// discovery, which may move, the file goes first.
+    pub fn reread(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let config = Config::load(var, First::File)?;
+        let sound = config.info.settings().and_then(|settings| settings.check().map_err(|e| e.to_string()));
+        sound.map(|()| config).map_err(|cause| format!("settings: {cause}"))
+    }
+
+    fn load(var: impl Fn(&str) -> Option<String>, first: First) -> Result<Config, String> {
         let path = var("GW_CONFIG").ok_or("GW_CONFIG is not set: it names the configuration file")?;
         let text = std::fs::read_to_string(&path).map_err(|cause| format!("cannot read {path}: {cause}"))?;
-        Config::parse(&text, var).map_err(|cause| format!("{path}: {cause}"))
+        Config::parse(&text, var, first).map_err(|cause| format!("{path}: {cause}"))
     }
 
-    /// As [`Config::read`], from the file's text.
-    pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    fn parse(text: &str, var: impl Fn(&str) -> Option<String>, first: First) -> Result<Config, String> {
         let file: File = serde_json::from_str(text).map_err(|cause| cause.to_string())?;
-        let either = |name: &str, value: Option<String>| {
-            var(name).or(value).ok_or(format!("neither {name} nor the file says it"))
+        let either = |name: &str, value: Option<String>, first: First| {
+            let found = if first == First::File { value.or_else(|| var(name)) } else { var(name).or(value) };
+            found.ok_or(format!("neither {name} nor the file says it"))
         };
-        let address = |name: &str, value: Option<String>| -> Result<SocketAddr, String> {
-            let text = either(name, value)?;
+        let address = |name: &str, value: Option<String>, first: First| -> Result<SocketAddr, String> {
+            let text = either(name, value, first)?;
             text.parse().map_err(|_| format!("{name}: {text:?} is not an address with a port"))
         };
         Ok(Config {
-            listen: address("GW_LISTEN", file.listen)?,
-            discovery: address("GW_DISCOVERY", file.discovery)?,
+            listen: address("GW_LISTEN", file.listen, First::Environment)?,
+            discovery: address("GW_DISCOVERY", file.discovery, first)?,
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| format!("seed: {:?} is not a hexadecimal number", file.seed))?,
-            name: either("GW_NAME", file.name)?,
+            name: either("GW_NAME", file.name, First::Environment)?,
             sockets: file.limits.sockets,
             known: file.known,
             info: file.settings,
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -50,6 +50,10 @@
     lists,
     /// News from discovery that could not be used.
     bad_lists,
+    /// Configurations read again and taken.
+    reloads,
+    /// Configurations read again that could not be used.
+    bad_configs,
     /// Watches of discovery begun.
     watches,
     /// Times that a descriptor had to be freed.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 /// Discovery writes an empty line every 2 s; silent for this span (microseconds), the watch is taken for
 /// dead. What it has to tell counts as told after 6 s, so little of that may be spent on waiting.
@@ -79,18 +80,34 @@
         follower
     }
 
-    /// Keeps a watch open for good.
-    pub async fn follow(mut self, address: SocketAddr, clock: Clock) {
+    /// Keeps a watch open for good, always at the address that was named last.
+    pub async fn follow(mut self, mut addresses: watch::Receiver<SocketAddr>, clock: Clock) {
         let mut last = String::new();
         loop {
+            let address = *addresses.borrow_and_update();
             self.counters.watches.add();
-            let cause = self.watch(address, clock).await.err().unwrap_or_default();
+            let cause = tokio::select! {
+                ended = self.watch(address, clock) => ended.err().unwrap_or_default(),
+                Ok(()) = addresses.changed() => {
+                    // Whether the next source counts its revisions alike is not known: it is asked for the
+                    // whole list. Until it speaks, the list stays as it is.
+                    self.revision = None;
+                    last.clear();
+                    continue;
+                }
+            };
             // While discovery is down the same is said once, not at every try.
             if cause != last {
                 log::warn!("the watch of discovery ended: {cause}; the last list still holds");
                 last = cause;
             }
-            clock.sleep_until(clock.now() + PAUSE).await;
+            // Also a try that waits is over when the address moves.
+            tokio::select! {
+                () = clock.sleep_until(clock.now() + PAUSE) => {}
+                Ok(()) = addresses.changed() => {
+                    self.revision = None;
+                }
+            }
         }
     }
 
@@ -176,7 +193,7 @@
             let named: BTreeSet<MemberId> = entries.iter().map(|entry| entry.member).collect();
             self.hosts.keep_only(&|id| named.contains(&id));
         }
-        log::debug!("list {} with {} entries", list.revision, entries.len());
+        log::debug!("list {}, {} entries, whole: {}", list.revision, entries.len(), list.complete);
         self.facade.list(list.complete, entries);
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -230,6 +230,34 @@
     assert!(second.starts_with("GET /discovery/hosts?watch=1&after=7 HTTP/1.1\r\n"), "{second}");
 }
 
+// Without a handler the signal kills the process. The environment still names the old source after a reload.
+#[test]
+fn a_new_configuration_moves_the_watch_and_a_bad_one_changes_nothing() {
+    let stage = Stage::new(25);
+    let (old, new) = (stage.host(vec![Say::Row(b"old")]), stage.host(vec![Say::Row(b"new")]));
+    let entries = stage.entries(&[(&old, "removed", "standby"), (&new, "up", "primary")]);
+    let (address, watches) = stage.other_source(&[&list(3, true, &entries)]);
+    let stage = stage.list(&[(&old, "up", "primary")]);
+    let config = stage.config();
+    let named = format!("\"discovery\":\"{}\"", stage.discovery_address());
+    let gateway = stage.start();
+    gateway.next_watch();
+    let mut client = gateway.client();
+    for bad in
+        ["{", &config.replace("\"seed\":\"8c1f\"", "\"seed\":\"spring\""), &config.replace("mutate", "x")]
+    {
+        gateway.configure(bad);
+    }
+    // Signals that come close together may arrive as one.
+    gateway.wait_for("bad_configs=", |count| count >= 1);
+    assert_eq!(client.ask(&select("a", "view", 5000))[1].1[6..], *b"old");
+    gateway.configure(&config.replace(&named, &format!("\"discovery\":\"{address}\"")));
+    let head = watches.recv_timeout(std::time::Duration::from_secs(60)).expect("it asks the new source");
+    assert!(head.starts_with("GET /discovery/hosts?watch=1 HTTP/1.1\r\n"), "{head}");
+    gateway.wait_for("lists=", |count| count >= 2);
+    assert_eq!(client.ask(&select("a", "view", 5000))[1].1[6..], *b"new");
+}
+
 #[test]
 fn more_idle_clients_than_descriptors_make_room_for_the_one_that_asks() {
     let stage = Stage::new(14);
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -239,9 +239,13 @@
         self
     }
 
+    pub fn discovery_address(&self) -> String {
+        self.discovery.local_addr().expect("an address").to_string()
+    }
+
     pub fn config(&self) -> String {
         let (listen, sockets, known) = (&self.listen, self.sockets, list(41, true, &self.known));
-        let discovery = self.discovery.local_addr().expect("an address");
+        let discovery = self.discovery_address();
         format!(
             r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
         )
@@ -249,10 +253,11 @@
 
     /// Starts the program with this configuration; it need not come up.
     pub fn start_with(&self, config: &str) -> Gateway {
-        let path = format!("{}/{}.json", env!("CARGO_TARGET_TMPDIR"), self.listen);
+        let path = config_path(&self.listen);
         std::fs::write(&path, config).expect("a place to write");
         let mut child = Command::new(env!("CARGO_BIN_EXE_petrelgauge"))
             .env("GW_CONFIG", path)
+            .env("GW_DISCOVERY", self.discovery_address())
             .env_remove("RUST_LOG")
             .stderr(Stdio::piped())
             .spawn()
@@ -266,17 +271,36 @@
     pub fn start(self) -> Gateway {
         let mut gateway = self.start_with(&self.config());
         gateway.line_with("serves at");
-        let ((saw, watches), (end_watch, ends)) = (channel(), channel());
-        (gateway.watches, gateway.end_watch) = (watches, end_watch);
-        let (mut news, mut later) = (self.news, self.later);
-        thread::spawn(move || {
-            for stream in self.discovery.incoming() {
-                let (news, later) = (std::mem::take(&mut news), std::mem::take(&mut later));
-                watch(stream.expect("a watch"), [news, later], &saw, &ends);
-            }
-        });
+        (gateway.watches, gateway.end_watch) = source(self.discovery, self.news, self.later);
         gateway
     }
+
+    /// A further source of discovery that brings these lines: its address, and the heads of its watches.
+    pub fn other_source(&self, news: &[&str]) -> (String, Receiver<String>) {
+        let listener = TcpListener::bind((self.ip.as_str(), 0)).expect("a free port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let news = news.iter().map(|line| line.to_string()).collect();
+        let (watches, end) = source(listener, news, Vec::new());
+        // Its watch lasts as long as the test.
+        std::mem::forget(end);
+        (address, watches)
+    }
+}
+
+fn source(listener: TcpListener, news: Vec<String>, later: Vec<String>) -> (Receiver<String>, Sender<()>) {
+    let ((saw, watches), (end_watch, ends)) = (channel(), channel());
+    let (mut news, mut later) = (news, later);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (news, later) = (std::mem::take(&mut news), std::mem::take(&mut later));
+            watch(stream.expect("a watch"), [news, later], &saw, &ends);
+        }
+    });
+    (watches, end_watch)
+}
+
+fn config_path(listen: &str) -> String {
+    format!("{}/{listen}.json", env!("CARGO_TARGET_TMPDIR"))
 }
 
 /// Serves one watch: its news at once, more when the test says so, and the empty line that shows that it
@@ -335,6 +359,12 @@
         client
     }
 
+    /// Replaces its configuration and tells it so.
+    pub fn configure(&self, config: &str) {
+        std::fs::write(config_path(&self.address), config).expect("a place to write");
+        self.signal("HUP");
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let sent = Command::new("kill").args([&format!("-{name}"), &id]).status().expect("kill is there");
@@ -355,9 +385,21 @@
 
     /// Asks for the counters until they hold this text.
     pub fn wait_for_counter(&self, text: &str) {
+        self.wait_for_counters(|counters| counters.contains(text));
+    }
+
+    /// Asks for the counters until the one named so, with its equals sign, has a value that will do.
+    pub fn wait_for(&self, name: &str, will_do: impl Fn(u64) -> bool) {
+        self.wait_for_counters(|counters| {
+            let words = counters.split_ascii_whitespace();
+            words.filter_map(|word| word.strip_prefix(name)?.parse().ok()).any(&will_do)
+        });
+    }
+
+    fn wait_for_counters(&self, will_do: impl Fn(&str) -> bool) {
         loop {
             self.signal("USR1");
-            if self.line_with("requests=").contains(text) {
+            if will_do(&self.line_with("requests=")) {
                 return;
             }
             thread::sleep(Duration::from_millis(20));
