Send the newest of equal requests first and call a request late with a sojourn left

Its reads could only go to the primary, waited there in the order they came (Router::pump) and went out just before or after their aim.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,7 +20,7 @@
 /// so the mean must stay well under the aim.
 const TARGET: f64 = 0.21;
 /// Share of the aim after which a request not yet sent is held to come late: the rest is for the work.
-const HOPE: f64 = 1.0 - TARGET / 2.0;
+const HOPE: f64 = 1.0 - TARGET;
 /// Sojourn, as a share of the aim, that a third of the answers may pass before the members as a whole are
 /// crowded. A share of the answers, not a mean: a few bad members are no reason to refuse.
 const CROWDED: f64 = 0.5;
@@ -547,7 +547,7 @@
             .iter()
             .filter_map(|seq| self.requests.get(seq).map(|r| (self.density(r), *seq)))
             .collect();
-        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
         let mut stuck: BTreeSet<usize> = BTreeSet::new();
         for (_, seq) in order {
             let Some(req) = self.requests.get(&seq) else { continue };
