--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -567,15 +567,13 @@
 // In a crowd, oldest first serves each just after its aim. Simulator, quick: 0.778 with the oldest first.
 #[test]
 fn of_waiting_requests_of_equal_worth_the_newest_goes_first() {
-    let mut stage = Stage::new(settings());
+    let mut stage = Stage::empty(settings());
     // Nobody is there to take them yet.
-    let list = (1..=3).map(|m| entry(m, Standing::Draining, m == 1, 0)).collect::<Vec<_>>();
-    stage.play(Event::List { whole: true, entries: list.into() });
     for n in 0..30 {
         assert_eq!(sent_to(&stage.ask(&format!("w{n:02}"), 2, 900 * MS)), None);
         stage.now += MS;
     }
-    let back = (1..=3).map(|m| entry(m, Standing::Up, m == 1, START)).collect::<Vec<_>>();
+    let back = (1..=3).map(|m| entry(m, Standing::Up, m == 1, 0)).collect::<Vec<_>>();
     let actions = stage.play(Event::List { whole: true, entries: back.into() });
     let sent: Vec<&str> = actions
         .iter()
