Close clients that are idle beyond a quarter of the descriptors, so that others get through

Traced by a line for each client that was shed or ended: at 3 s 172 clients were open, 126 of them idle after an answer, which is the third of the descriptors that clients may hold. They keep connections that they do not use again, and with all of them in use that way the next client cannot even connect. Front::make_room freed one only when a client came, and Budget::crowded began at half, beyond that third.

Now, every 50 ms, clients beyond a quarter that have been idle for 0.1 s are closed, the ones that have asked for nothing first.

Tests: the gateway of a test listens at an address of its own, where no other peer takes its port (seen once).

--- a/src/main.rs
+++ b/src/main.rs
@@ -22,8 +22,10 @@
 
 /// After SIGTERM clients are accepted for this span: the front learns of it only then (microseconds).
 const LAST_CLIENTS: Time = 450_000;
-/// Between two looks for idle connections that are of no more use, and at what is still open at the end.
+/// Between two looks for idle connections that are of no more use, for clients that are too many, and at what is
+/// still open at the end.
 const SWEEP: Time = 500_000;
+const THIN_OUT: Time = 50_000;
 const LOOK: Time = 10_000;
 /// Connections that the kernel holds ready.
 const BACKLOG: u32 = 1024;
@@ -153,7 +155,11 @@
 
 async fn keep_clean(hosts: Rc<Hosts>, clock: Clock) {
     loop {
-        clock.sleep_until(clock.now() + SWEEP).await;
+        let by = clock.now() + SWEEP;
+        while clock.now() < by {
+            clock.sleep_until(clock.now() + THIN_OUT).await;
+            hosts.thin_out();
+        }
         hosts.sweep();
     }
 }
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -1,6 +1,7 @@
 //! What this process may hold, shared out between clients and database hosts: descriptors, and the bytes of
 //! messages.
 
+use crate::Time;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -16,17 +17,21 @@
 
 /// Counts open connections and the bytes they hold, and knows which clients can be closed.
 pub struct Budget {
+    sockets: usize,
     most: usize,
     open: Cell<usize>,
     clients: Cell<usize>,
     most_bytes: usize,
     bytes: Cell<usize>,
     next: Cell<u64>,
-    /// Clients that can be closed, by how soon and then the longest waiting first.
-    idle: RefCell<BTreeMap<(Idleness, u64), Rc<Notify>>>,
+    /// Clients that can be closed, by why and then the longest waiting first, each with its beginning.
+    idle: RefCell<BTreeMap<Place, (Time, Rc<Notify>)>>,
 }
 
-/// Why a client can be closed; the first go first.
+/// Why, and in what order.
+type Place = (Idleness, u64);
+
+/// Why a client can be closed.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Idleness {
     /// It has been told why its connection ends, and may still read it.
@@ -41,6 +46,7 @@
     /// A budget for a process that may hold `sockets` descriptors and `memory` bytes.
     pub fn new(sockets: usize, memory: usize) -> Rc<Budget> {
         Rc::new(Budget {
+            sockets,
             most: sockets.saturating_sub(RESERVE).max(2),
             open: Cell::new(0),
             clients: Cell::new(0),
@@ -72,23 +78,27 @@
         self.open.get() >= self.most
     }
 
-    /// Clients hold half of all: those with something to ask hold a third at most, and hosts need the rest.
-    pub fn crowded(&self) -> bool {
-        self.clients.get() >= self.most / 2
+    /// How many clients there are beyond a quarter of all. Those that ask hold a third at most: what is left of
+    /// it is for the next ones.
+    pub fn crowd(&self) -> usize {
+        self.clients.get().saturating_sub(self.sockets / 4)
     }
 
-    /// Marks a client as one that can be closed for as long as the mark lives.
-    pub fn idle(self: &Rc<Self>, why: Idleness, client: &Rc<Notify>) -> Idle {
+    /// Marks a client as one that can be closed for as long as the mark lives, from `now` on.
+    pub fn idle(self: &Rc<Self>, why: Idleness, now: Time, client: &Rc<Notify>) -> Idle {
         let number = self.next.get();
         self.next.set(number + 1);
-        self.idle.borrow_mut().insert((why, number), client.clone());
+        self.idle.borrow_mut().insert((why, number), (now, client.clone()));
         Idle { budget: self.clone(), place: (why, number) }
     }
 
-    /// Asks the client that can best be spared to close. False if there is none.
-    pub fn shed_client(&self) -> bool {
-        let first = self.idle.borrow_mut().pop_first();
-        first.map(|(_, client)| client.notify_one()).is_some()
+    /// Asks the client to close that can be closed for this reason for the longest, at least since `latest`.
+    /// False if there is none.
+    pub fn shed_client(&self, why: Idleness, latest: Time) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let first = idle.range((why, 0)..=(why, u64::MAX)).next().filter(|(_, (since, _))| *since <= latest);
+        let Some(place) = first.map(|(place, _)| *place) else { return false };
+        idle.remove(&place).map(|(_, client)| client.notify_one()).is_some()
     }
 
     /// The bytes of a connection, none so far. Clients leave a quarter of all to what hosts answer.
@@ -115,7 +125,7 @@
 /// One client that can be closed.
 pub struct Idle {
     budget: Rc<Budget>,
-    place: (Idleness, u64),
+    place: Place,
 }
 
 impl Drop for Idle {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -83,7 +83,7 @@
                     number = number.wrapping_add(1);
                     failing = false;
                     self.counters.clients.add();
-                    self.make_room();
+                    self.hosts.make_room();
                     // Counted here: of many that come at once, each must see those before it.
                     let slot = self.budget.take_client();
                     tokio::task::spawn_local(self.clone().serve(stream, number, slot));
@@ -95,23 +95,13 @@
                     if !std::mem::replace(&mut failing, true) {
                         log::warn!("cannot accept a client: {cause}");
                     }
-                    if !self.budget.shed_client() {
-                        self.hosts.shed();
-                    }
+                    self.hosts.make_room();
                     self.clock.sleep_until(self.clock.now() + 2_000).await;
                 }
             }
         }
     }
 
-    /// Closes a connection that is of no use now if a further client would be one too many.
-    fn make_room(&self) {
-        let crowded = self.budget.crowded() && self.budget.shed_client();
-        if crowded || (self.budget.spent() && !self.hosts.shed() && self.budget.shed_client()) {
-            self.counters.sheds.add();
-        }
-    }
-
     async fn serve(self: Rc<Self>, mut stream: TcpStream, number: u32, _slot: Slot) {
         let _open = self.open.enter();
         let _ = stream.set_nodelay(true);
@@ -331,7 +321,7 @@
         let began = clock.now();
         let (mut stopping, shed) = (self.stopping.clone(), self.shed.clone());
         let opened = {
-            let _idle = front.budget.idle(Idleness::New, &shed);
+            let _idle = front.budget.idle(Idleness::New, began, &shed);
             tokio::select! {
                 biased;
                 opened = self.open(number) => opened?,
@@ -344,10 +334,10 @@
             return Ok(end);
         }
         let (mut idle_by, mut whole_by) = (began + IDLE, began + WHOLE_NEW);
-        let (mut why, mut skipping) = (Idleness::New, false);
+        let (mut why, mut since, mut skipping) = (Idleness::New, began, false);
         loop {
             let next = {
-                let _idle = front.budget.idle(why, &shed);
+                let _idle = front.budget.idle(why, since, &shed);
                 tokio::select! {
                     biased;
                     next = self.inbox.next() => next?,
@@ -402,9 +392,10 @@
                 b'H' | b'd' | b'c' | b'f' => continue,
                 _ => return self.cut_off(pg::Malformed("invalid frontend message type").into()).await,
             }
-            (idle_by, why) = (clock.now() + IDLE, Idleness::Answered);
+            (since, why) = (clock.now(), Idleness::Answered);
+            idle_by = since + IDLE;
             if self.trusted {
-                whole_by = clock.now() + WHOLE;
+                whole_by = since + WHOLE;
             }
         }
     }
@@ -438,7 +429,7 @@
         self.write(&out[..], clock.now()).await?;
         // Closed with bytes unread, the connection would be reset and the client not see the reason.
         let _ = self.writer.shutdown().await;
-        let _idle = self.front.budget.idle(Idleness::CutOff, &self.shed);
+        let _idle = self.front.budget.idle(Idleness::CutOff, clock.now(), &self.shed);
         let by = clock.now() + LINGER;
         tokio::select! {
             () = self.inbox.discard() => {}
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -1,7 +1,7 @@
 //! Connections to database hosts: the pool, and one attempt on one of them.
 
 use crate::facade::{Attempt, Outcome};
-use crate::net::budget::{Budget, Hold, Slot};
+use crate::net::budget::{Budget, Hold, Idleness, Slot};
 use crate::net::clock::Clock;
 use crate::net::counters::{Counters, Gauge};
 use crate::net::ending::End;
@@ -27,6 +27,11 @@
 const REST: Time = 20_000;
 /// Span after an answer in which the next one must not be its copy (microseconds).
 const RECENT: Time = 1_000_000;
+/// Spans after which an idle client can be spared, while there is room, and when there is none: if it has asked
+/// for nothing, and if it was answered (microseconds).
+const QUIET: Time = 100_000;
+const SLOW: Time = 20_000;
+const UNUSED: Time = 1_000_000;
 /// Span that a position may lie ahead of this gateway's clock (microseconds).
 const AHEAD: Time = 1_000_000;
 
@@ -134,13 +139,48 @@
         }
     }
 
+    /// Closes clients that can be spared while there are too many. Clients keep what they have once asked with,
+    /// also the ones that never ask again, and with their share full of those nobody else gets through.
+    pub fn thin_out(&self) {
+        let now = self.clock.now();
+        let shed = |why, span| self.budget.shed_client(why, now - span);
+        for _ in 0..self.budget.crowd() {
+            if !shed(Idleness::CutOff, QUIET)
+                && !shed(Idleness::New, QUIET)
+                && !shed(Idleness::Answered, QUIET)
+            {
+                return;
+            }
+            self.counters.sheds.add();
+        }
+    }
+
+    /// Closes a connection that can be spared if a further one would be too many, clients that say nothing
+    /// first. False if nothing could be spared.
+    pub fn make_room(&self) -> bool {
+        let (budget, now) = (&self.budget, self.clock.now());
+        let shed = |why, span| budget.shed_client(why, now - span);
+        if !budget.spent() {
+            return true;
+        }
+        let made = shed(Idleness::CutOff, 0)
+            || shed(Idleness::New, SLOW)
+            || shed(Idleness::Answered, UNUSED)
+            || self.shed()
+            || shed(Idleness::Answered, 0)
+            || shed(Idleness::New, 0);
+        if made {
+            self.counters.sheds.add();
+        }
+        made
+    }
+
     /// Closes the connection that is idle for longest. False if there is none.
-    pub fn shed(&self) -> bool {
+    fn shed(&self) -> bool {
         let mut hosts = self.hosts.borrow_mut();
         let with_idle = hosts.values_mut().filter(|host| !host.idle.is_empty());
         let Some(host) = with_idle.min_by_key(|host| host.idle[0].0) else { return false };
         host.idle.remove(0);
-        self.counters.sheds.add();
         self.counters.ended(End::Retired);
         true
     }
@@ -272,12 +312,8 @@
 
     async fn connect(&self, id: MemberId, hold: &mut Hold) -> Result<Opened, End> {
         let site = self.hosts.borrow().get(&id).map(|host| host.site).ok_or(End::NoAddress)?;
-        // Descriptors run short: idle connections go first, those to hosts before those of clients.
-        if self.budget.spent() && !self.shed() {
-            self.counters.sheds.add();
-            if !self.budget.shed_client() {
-                return Err(End::NoDescriptor);
-            }
+        if !self.make_room() {
+            return Err(End::NoDescriptor);
         }
         let slot = self.budget.take();
         self.counters.host_connects.add();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -392,6 +392,23 @@
     assert_eq!(host.queries(), 1);
 }
 
+// Recorded day r755591: clients that had asked once kept all the connections that clients may hold, and half of
+// the requests of the others never reached the gateway.
+#[test]
+fn idle_clients_beyond_a_quarter_of_the_descriptors_are_closed() {
+    let gateway = Stage::new(38).sockets(100).start();
+    let clients: Vec<Client> = (0..45)
+        .map(|_| {
+            let mut client = gateway.client();
+            client.ask("");
+            client
+        })
+        .collect();
+    gateway.wait_for("ClientShed=", |count| count >= 1);
+    assert_eq!(kinds(&gateway.client().ask("")), "IZ");
+    drop(clients);
+}
+
 #[test]
 fn more_idle_clients_than_descriptors_make_room_for_the_one_that_asks() {
     let stage = Stage::new(14);
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -204,8 +204,9 @@
     pub fn new(number: u8) -> Stage {
         let ip = format!("127.77.{number}.1");
         let discovery = TcpListener::bind((ip.as_str(), 0)).expect("a free port");
-        // Free a moment ago, so that two runs of the tests side by side do not meet.
-        let free = TcpListener::bind((ip.as_str(), 0)).expect("a free port");
+        // Free a moment ago, so that two runs of the tests side by side do not meet; at an address of its own, so
+        // that no peer of this test takes the port meanwhile.
+        let free = TcpListener::bind((format!("127.77.{number}.2"), 0)).expect("a free port");
         let listen = free.local_addr().expect("an address").to_string();
         Stage {
             ip,
