--- a/src/facade.rs
+++ b/src/facade.rs
@@ -142,13 +142,16 @@
     /// News of the list: whole, or only what changed.
     pub fn list(&self, whole: bool, entries: Vec<Entry>) {
         let mut state = self.0.state.borrow_mut();
+        if whole {
+            state.groups.clear();
+        }
         state.groups.extend(entries.iter().map(|entry| entry.group));
         state.queue.push(Event::List { whole, entries: entries.into() });
         drop(state);
         self.0.woken.notify_one();
     }
 
-    /// Whether the list may hold this group: it named it once, or has named none at all so far.
+    /// Whether the list may hold this group: it named it since it was last whole, or has named none so far.
     pub fn may_serve(&self, group: GroupId) -> bool {
         let state = self.0.state.borrow();
         state.groups.is_empty() || state.groups.contains(&group)
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -56,6 +56,8 @@
 /// Silence that a member is allowed, as a share of the shortest aim: so much, and so many of its sojourns.
 const QUIET: f64 = 0.3;
 const QUIET_LOAD: f64 = 6.0;
+/// Span after which a member that is gone is forgotten (microseconds): no list that old may name it again.
+const FORGOTTEN: Time = 60_000_000;
 /// Share of what clients can hold open that may be held here: the rest is for those yet to come (fraction).
 const OPEN_SHARE: f64 = 0.85;
 
@@ -206,6 +208,7 @@
             primary_at: named as Time,
             limit: FIRST_LIMIT,
             heard: self.now,
+            named: self.now,
             credited_at: self.now,
             ..Member::default()
         }
@@ -661,7 +664,16 @@
         self.watched_at = now;
         // A member that drops some of its work and answers the rest must not have its room held by what is
         // lost. Covers lossy paths and hung requests of any kind; harms a crowded member by some more work.
-        self.members.values_mut().for_each(|member| (member.lost, member.quiet) = (0, (0.0, 0)));
+        for member in self.members.values_mut() {
+            (member.lost, member.quiet) = (0, (0.0, 0));
+            if member.standing != Standing::Gone || member.out > 0 || self.set.soft_removal {
+                member.named = now;
+            }
+        }
+        // Members are replaced for as long as a router runs.
+        self.members.retain(|_, member| now - member.named < FORGOTTEN);
+        let members = &self.members;
+        self.groups.values_mut().for_each(|group| group.members.retain(|id| members.contains_key(id)));
         for out in self.outs.values() {
             let Some(member) = self.members.get_mut(&out.member) else { continue };
             let (waited, aim) = (now - out.sent, self.set.classes[out.class].aim);
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,6 +33,8 @@
     pub(crate) lost: u32,
     /// Attempts out since it was heard: their waits in aims, summed up, and the longest one.
     pub(crate) quiet: (f64, Time),
+    /// When it was last in service or had something out.
+    pub(crate) named: Time,
     /// Last sign of life.
     pub(crate) heard: Time,
     pub(crate) suspect: bool,
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -50,6 +50,17 @@
     }
 }
 
+// Named once is not named for good: groups would pile up for as long as the gateway runs.
+#[test]
+fn a_whole_list_tells_which_groups_there_are() {
+    let play = Play::new();
+    let other = Entry { group: G + 1, ..entry(4, Standing::Up, true, 0) };
+    play.facade.list(false, vec![other.clone()]);
+    assert!(play.facade.may_serve(G) && play.facade.may_serve(G + 1));
+    play.facade.list(true, vec![other]);
+    assert!(!play.facade.may_serve(G) && play.facade.may_serve(G + 1));
+}
+
 #[test]
 fn what_is_served_is_the_answer_and_only_while_its_request_is_open() {
     let mut play = Play::new();
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -586,3 +586,21 @@
     assert!(!sent.is_empty() && sent.len() < 30, "{sent:?}");
     assert_eq!(sent, newest);
 }
+
+// On the long day hosts are replaced all the time: what is remembered of each must not grow with the day.
+#[test]
+fn a_member_long_gone_is_forgotten_and_one_just_gone_is_not() {
+    let back_after = |span: Time| {
+        let mut stage = Stage::new(settings());
+        for standing in [Standing::Draining, Standing::Gone] {
+            let list = (1..=3).map(|m| entry(m, standing, m == 1, 0)).collect::<Vec<_>>();
+            stage.play(Event::List { whole: true, entries: list.into() });
+        }
+        stage.wait(span);
+        let list = (1..=3).map(|m| entry(m, Standing::Up, m == 1, 0)).collect::<Vec<_>>();
+        stage.play(Event::List { whole: true, entries: list.into() });
+        sent_to(&stage.ask("r", 2, 900 * MS)).is_some()
+    };
+    assert!(!back_after(10_000 * MS), "an old list does not undo a drain");
+    assert!(back_after(61_000 * MS), "a name that comes back later is a new member");
+}
