--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -19,7 +19,7 @@
     Write,
     /// All commits before the request reached the router.
     Strong,
-    /// All writes of its session.
+    /// What its floor names.
     Session,
     /// Data no older than this span when it is sent.
     Bounded(Time),
@@ -142,8 +142,8 @@
     pub behind: Behind,
     /// What the list tells of the primary.
     pub list_role: ListRole,
-    /// Session reads must see the writes this router saw served (else they bring the age).
-    pub session_marks_kept: bool,
+    /// Longest that a read waits for a replica about to pass its floor; 0 where none does.
+    pub hold: Time,
     /// Price of one crossing of zones a request, as a share of all worth.
     pub crossing_price: f64,
     /// Price of one probe a request, as a share of all worth.
@@ -175,7 +175,7 @@
             soft_removal: false,
             behind: Behind::Refuse,
             list_role: ListRole::Trailing,
-            session_marks_kept: false,
+            hold: 0,
             crossing_price: 0.0,
             probe_price: 0.0,
         }
@@ -334,10 +334,15 @@
         time_left: Time,
         /// The client marked it as a repeat.
         repeat: bool,
-        /// Its session.
-        session: Option<Arc<str>>,
-        /// The session's last commit lies at least this far back.
-        session_age: Option<Time>,
+        /// Commit that the data read for it must hold, beside what its class needs.
+        floor: Option<Time>,
+    },
+    /// What must be seen by a request that waits is less by now.
+    Floor {
+        /// The request.
+        request: RequestId,
+        /// The commit.
+        floor: Time,
     },
     /// An attempt ended.
     Outcome {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -52,8 +52,7 @@
 //!     group: 9,
 //!     time_left: 900_000,
 //!     repeat: false,
-//!     session: None,
-//!     session_age: None,
+//!     floor: None,
 //! };
 //! router.step(1_000_000, &[list, request], &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { member: 1, .. })));
--- a/crates/policy/src/router/list.rs
+++ b/crates/policy/src/router/list.rs
@@ -90,7 +90,7 @@
             self.learn(*id, if commit { None } else { *position }, *role, Some(now));
             self.learn(*id, report.position, report.role, report.position);
             if let (true, Some(at)) = (commit, *position) {
-                self.committed(*id, at, seq);
+                self.committed(*id, at);
             }
         }
         if *ending == Ending::Served {
@@ -178,7 +178,7 @@
         self.groups.entry(group).or_default().waiting.insert(seq);
     }
 
-    pub(super) fn committed(&mut self, id: MemberId, at: Time, seq: Option<u64>) {
+    pub(super) fn committed(&mut self, id: MemberId, at: Time) {
         let Some(member) = self.members.get(&id) else { return };
         let group = self.groups.entry(member.group).or_default();
         let place = group.commits.partition_point(|&c| c <= at);
@@ -186,11 +186,6 @@
         if group.commits.len() > 4 * HISTORY {
             group.commits.pop_front();
         }
-        let session = seq.and_then(|s| self.requests.get(&s)).and_then(|r| r.session.clone());
-        if let (true, Some(session)) = (self.set.session_marks_kept, session) {
-            let mark = self.sessions.entry(session).or_insert(at);
-            *mark = at.max(*mark);
-        }
     }
 }
 
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -12,7 +12,6 @@
 use crate::interface::*;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::sync::Arc;
 
 /// Trials of one forecast (count). Enough to tell a stale share of a tenth; the paper leaves it open.
 const TRIALS: u32 = 24;
@@ -31,6 +30,8 @@
 const CROWDED: f64 = 0.5;
 /// Mean sojourn under which work given up does not count as a sign of a crowd (share of the aim).
 const CALM: f64 = 0.3;
+/// Part of the aim that a read waits for a replica at most (fraction).
+const HOLD: f64 = 0.1;
 /// Step of the share then refused unsent, for each answer: some tens of answers from nothing to all.
 const SHED_STEP: f64 = 0.02;
 /// Attempts a member may have out before it has shown what it carries (count).
@@ -77,7 +78,6 @@
     requests: BTreeMap<u64, Request>,
     names: BTreeMap<RequestId, u64>,
     outs: BTreeMap<(RequestId, u32), Out>,
-    sessions: BTreeMap<Arc<str>, Time>,
     next: u64,
     /// Middle of the time that tries of a class come with.
     typical_try: Vec<Time>,
@@ -126,6 +126,12 @@
                 Event::ListFailed => {}
                 Event::Request { .. } => self.request(event),
                 Event::Outcome { .. } => self.outcome(event),
+                Event::Floor { request, floor } => {
+                    let seq = self.names.get(request).copied().unwrap_or(u64::MAX);
+                    if let Some(req) = self.requests.get_mut(&seq) {
+                        req.mark = req.mark.map(|mark| mark.min(*floor));
+                    }
+                }
                 Event::Withdrawn { request } => {
                     if let Some(seq) = self.names.get(request).copied() {
                         self.call_off(seq, None);
--- a/crates/policy/src/router/pick.rs
+++ b/crates/policy/src/router/pick.rs
@@ -6,28 +6,24 @@
     /// The newest commit a read must see, or none where any data will do.
     pub(super) fn forecast(&mut self, seq: u64) -> Option<Time> {
         let req = self.requests.get(&seq)?;
-        match self.set.classes[req.class].need {
-            Need::Session => req.mark,
-            Need::Bounded(bound) => {
-                let horizon = self.now - bound;
-                let commits = &self.groups.get(&req.group)?.commits;
-                let place = commits.partition_point(|&c| c <= horizon);
-                if place < commits.len() || commits.len() < 2 {
-                    return Some(if place > 0 { commits[place - 1] } else { horizon });
-                }
-                let (mut at, count) = (commits[place - 1], commits.len() - 1);
-                let gaps: Vec<Time> = (0..count).map(|i| (commits[i + 1] - commits[i]).max(1)).collect();
-                for _ in 0..8 * HISTORY {
-                    let gap = gaps[(self.rng.next_u64() % count as u64) as usize];
-                    if at + gap > horizon {
-                        return Some(at);
-                    }
-                    at += gap;
-                }
-                Some(horizon)
+        let mark = req.mark;
+        let Need::Bounded(bound) = self.set.classes[req.class].need else { return mark };
+        let horizon = self.now - bound;
+        let commits = &self.groups.get(&req.group)?.commits;
+        let place = commits.partition_point(|&c| c <= horizon);
+        if place < commits.len() || commits.len() < 2 {
+            return mark.max(Some(if place > 0 { commits[place - 1] } else { horizon }));
+        }
+        let (mut at, count) = (commits[place - 1], commits.len() - 1);
+        let gaps: Vec<Time> = (0..count).map(|i| (commits[i + 1] - commits[i]).max(1)).collect();
+        for _ in 0..8 * HISTORY {
+            let gap = gaps[(self.rng.next_u64() % count as u64) as usize];
+            if at + gap > horizon {
+                return mark.max(Some(at));
             }
-            _ => None,
+            at += gap;
         }
+        mark.max(Some(horizon))
     }
 
     pub(super) fn chance(&mut self) -> f64 {
@@ -106,6 +102,8 @@
         let primary = self.primary(req.group);
         let last = req.attempts.len() + 1 >= self.set.attempts as usize;
         let class = &self.set.classes[req.class];
+        let by = req.born + self.set.hold.min(share_of(class.aim, HOLD));
+        let held = req.mark.filter(|_| !last && self.now < by);
         if req.attempts.is_empty() && class.effect == Effect::Safe && class.aim <= 2 * self.brief() {
             if let Some(id) = self.peers(req.group).iter().copied().find(|id| self.due(*id)) {
                 return Some(id);
@@ -125,6 +123,11 @@
         // share of all work seen: more would crowd it, fewer crowd the replicas.
         let bound = self.work[1] / (self.work[0] + self.work[1]).max(1.0);
         let lent = self.chance() * (1.0 - bound) < 1.0 - bound * usable.len() as f64;
-        self.pick(need, &usable, lent)
+        let choice = self.pick(need, &usable, lent);
+        // A replica about to pass the floor is worth a short wait: the primary has work of its own.
+        let Some(mark) = held.filter(|_| choice == primary) else { return choice };
+        let mut others = usable.into_iter().filter(|id| Some(*id) != primary);
+        let soon = others.any(|id| mark + self.draw_lag(id) < by);
+        choice.filter(|_| !soon)
     }
 }
--- a/crates/policy/src/router/requests.rs
+++ b/crates/policy/src/router/requests.rs
@@ -4,14 +4,14 @@
 
 impl Router {
     pub(super) fn request(&mut self, event: &Event) {
-        let Event::Request { request, class, group, time_left, repeat, session, session_age } = event else {
+        let Event::Request { request, class, group, time_left, repeat, floor } = event else {
             return;
         };
         let chance = self.chance();
         let Some(spec) = self.set.classes.get(*class) else {
             return self.actions.push(Action::Refuse { request: request.clone(), wait: 0 });
         };
-        let (kept, now) = (self.set.session_marks_kept, self.now);
+        let now = self.now;
         // Most requests are first tries with one span: well less time than the middle means a later try,
         // whose first is so much older. A middle, for some later tries come with more time than that.
         let typical = &mut self.typical_try[*class];
@@ -30,11 +30,6 @@
             let wait = self.set.max_wait_hint;
             return self.actions.push(Action::Refuse { request: request.clone(), wait });
         }
-        let mark = match (spec.need, session) {
-            (Need::Session, Some(session)) if kept => self.sessions.get(session).copied(),
-            (Need::Session, _) => session_age.map(|age| now - age),
-            _ => None,
-        };
         let seq = self.next;
         self.next += 1;
         self.probe_purse += PROBE_SPEND;
@@ -46,8 +41,7 @@
             born: now - age.max(0),
             end: now + time_left,
             half: now + time_left / 2,
-            session: session.clone(),
-            mark,
+            mark: *floor,
             attempts: Vec::new(),
             refused: Vec::new(),
         };
--- a/crates/policy/src/router/sends.rs
+++ b/crates/policy/src/router/sends.rs
@@ -35,10 +35,10 @@
         let fresh = self.set.behind != Behind::Serve
             || member.leads()
             || match class.need {
-                Need::Write | Need::Eventual => true,
+                Need::Write => true,
                 Need::Strong => false,
-                Need::Session => req.mark.is_none_or(|mark| member.position >= mark),
-                Need::Bounded(bound) => member.position >= self.now - bound,
+                Need::Session | Need::Eventual => req.mark.is_none_or(|mark| member.position >= mark),
+                Need::Bounded(bound) => member.position >= req.mark.max(Some(self.now - bound)).unwrap_or(0),
             };
         // Rule 4: the cold budget.
         in_time && alone && repeatable && standing && fresh && self.cold_room(id)
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -4,7 +4,6 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeSet, VecDeque};
-use std::sync::Arc;
 
 /// A router's only source of chance.
 pub(crate) struct Dice(Pcg64Mcg);
@@ -99,8 +98,7 @@
     pub(crate) end: Time,
     /// Half of the time it came with is over then.
     pub(crate) half: Time,
-    pub(crate) session: Option<Arc<str>>,
-    /// Commit a session read must see.
+    /// Commit that its data must hold.
     pub(crate) mark: Option<Time>,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) refused: Vec<(MemberId, Time)>,
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -50,7 +50,7 @@
         soft_removal: false,
         behind: Behind::Refuse,
         list_role: ListRole::Static,
-        session_marks_kept: false,
+        hold: 0,
         crossing_price: 0.0,
         probe_price: 0.01,
     }
@@ -157,9 +157,8 @@
     name.bytes().fold(7u64, |h, b| (h ^ b as u64).wrapping_mul(0x9E3779B97F4A7C15)) >> 40
 }
 
-pub fn request(name: &str, class: usize, time_left: Time, session_age: Option<Time>) -> Event {
-    let session = session_age.map(|_| "s".into());
-    Event::Request { request: name.into(), class, group: G, time_left, repeat: false, session, session_age }
+pub fn request(name: &str, class: usize, time_left: Time, floor: Option<Time>) -> Event {
+    Event::Request { request: name.into(), class, group: G, time_left, repeat: false, floor }
 }
 
 pub fn sent_to(actions: &[Action]) -> Option<MemberId> {
--- a/crates/policy/tests/trouble.rs
+++ b/crates/policy/tests/trouble.rs
@@ -47,10 +47,10 @@
 fn a_session_read_with_an_old_mark_may_use_a_lagging_replica() {
     let mut stage = Stage::new(settings());
     teach(&mut stage, [0, 500 * MS, 500 * MS], 20);
-    let old = stage.play(request("old", 1, 900 * MS, Some(5_000 * MS)));
+    let old = stage.play(request("old", 1, 900 * MS, Some(stage.now - 5_000 * MS)));
     assert!(sent_to(&old).is_some());
     for n in 0..3 {
-        let young = stage.play(request(&format!("young{n}"), 1, 900 * MS, Some(50 * MS)));
+        let young = stage.play(request(&format!("young{n}"), 1, 900 * MS, Some(stage.now - 50 * MS)));
         assert_eq!(sent_to(&young), Some(1), "only the primary has seen a write that young");
     }
 }
@@ -192,8 +192,7 @@
         group: 1,
         time_left: 0,
         repeat: true,
-        session: None,
-        session_age: None,
+        floor: None,
     });
     assert!(refused(&unknown), "a class that no setting names still gets its one answer");
     assert_eq!(sends(&stage.ask("r", 0, 900 * MS)), 0, "a group with no member up");
@@ -278,8 +277,7 @@
         group: G,
         time_left: 900 * MS,
         repeat,
-        session: None,
-        session_age: None,
+        floor: None,
     };
     assert!(!refused(&stage.play(repeat("first", false))), "a first try waits for room");
     assert!(refused(&stage.play(repeat("again", true))), "a repeat past its hope does not");
--- a/src/bin/petrelgauge-benchlink/wire.rs
+++ b/src/bin/petrelgauge-benchlink/wire.rs
@@ -2,6 +2,7 @@
 
 use petrelgauge::settings::{self, Info};
 use petrelgauge::*;
+use petrelgauge_sessions::{Keeper, Key};
 use serde::Deserialize;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -105,6 +106,47 @@
     classes: BTreeMap<String, usize>,
     origin: Time,
     reports: Vec<String>,
+    needs: Vec<Need>,
+    sessions: Option<Sessions>,
+}
+
+/// The marks of an instance whose deployment remembers them: of its own answers, since its start.
+struct Sessions {
+    keeper: Keeper,
+    /// Keys of the writes that are open.
+    writes: BTreeMap<Arc<str>, Key>,
+}
+
+impl Sessions {
+    fn new(info: &Info, needs: &[Need]) -> Option<Sessions> {
+        let kept = info.remembers_sessions() && needs.contains(&Need::Session);
+        let settings = petrelgauge_sessions::Settings { roams: false, ..Default::default() };
+        let keeper = kept.then(|| Keeper::new(settings, 0).ok())??;
+        Some(Sessions { keeper, writes: BTreeMap::new() })
+    }
+
+    /// What a request must see, if its class reads what its session wrote.
+    fn incoming(
+        &mut self,
+        now: Time,
+        txn: &Arc<str>,
+        need: Need,
+        group: GroupId,
+        name: &str,
+    ) -> Option<Time> {
+        let key = self.keeper.key(group, name);
+        if need == Need::Write {
+            self.writes.insert(txn.clone(), key);
+        }
+        (need == Need::Session).then(|| self.keeper.ask(now, key, None).need())
+    }
+
+    fn done(&mut self, now: Time, txn: &Arc<str>, commit: Option<Time>, over: bool) {
+        let key = if over { self.writes.remove(txn) } else { self.writes.get(txn).copied() };
+        if let (Some(key), Some(commit)) = (key, commit) {
+            self.keeper.wrote(now, key, 0, Some(commit));
+        }
+    }
 }
 
 /// All routers of this process.
@@ -122,7 +164,8 @@
         for bundle in batch.groups {
             let mut events = Vec::new();
             for wire in bundle.events {
-                self.event(bundle.i, wire, &mut events).map_err(|c| format!("instance {}: {c}", bundle.i))?;
+                self.event(batch.wall_us, bundle.i, wire, &mut events)
+                    .map_err(|c| format!("instance {}: {c}", bundle.i))?;
             }
             let Some(instance) = self.instances.get_mut(&bundle.i) else { continue };
             let mut actions = Vec::new();
@@ -135,7 +178,7 @@
         Ok(json!({ "groups": groups }).to_string())
     }
 
-    fn event(&mut self, i: u64, wire: Wire, events: &mut Vec<Event>) -> Result<(), String> {
+    fn event(&mut self, now: Time, i: u64, wire: Wire, events: &mut Vec<Event>) -> Result<(), String> {
         match wire {
             Wire::Page { slot, rows_in } => {
                 let entries: Result<Vec<Entry>, String> = rows_in.into_iter().map(entry).collect();
@@ -154,7 +197,7 @@
             }
             _ => {}
         }
-        let known = self.instances.get(&i).ok_or("event before its Configure")?;
+        let known = self.instances.get_mut(&i).ok_or("event before its Configure")?;
         events.push(match wire {
             Wire::Membership { mode, slot } => match mode.as_str() {
                 "X" => Event::ListFailed,
@@ -165,35 +208,47 @@
                 other => return Err(format!("mode: unknown value {other:?}")),
             },
             Wire::Incoming { txn, time_left_us, flags, group_no, token_ms, session, service } => {
+                let (group, sessions) = (group_no as GroupId, known.sessions.as_mut());
+                let class =
+                    *known.classes.get(&service).ok_or(format!("service: unknown class {service:?}"))?;
+                let need = known.needs[class];
+                let kept = sessions
+                    .zip(session)
+                    .and_then(|(sessions, name)| sessions.incoming(now, &txn, need, group, &name));
+                let brought = token_ms > 0.0 && need == Need::Session;
+                let brought = brought.then_some(now - (token_ms * 1e3) as Time);
                 Event::Request {
+                    class,
                     request: txn,
-                    class: *known
-                        .classes
-                        .get(&service)
-                        .ok_or(format!("service: unknown class {service:?}"))?,
-                    group: group_no as GroupId,
+                    group,
                     time_left: time_left_us,
                     repeat: flags & 2 != 0,
-                    session,
-                    session_age: (token_ms > 0.0).then_some((token_ms * 1e3) as Time),
+                    floor: kept.or(brought),
+                }
+            }
+            Wire::Done { txn, no_more, node, mark, status, took_us, shot, metrics } => {
+                let position = (mark >> 2 > 0)
+                    .then(|| known.origin.saturating_add(((mark >> 2) as Time).saturating_mul(1000)));
+                let ending = ending(&status)?;
+                if let Some(sessions) = &mut known.sessions {
+                    sessions.done(now, &txn, position.filter(|_| ending == Ending::Served), no_more);
+                }
+                Event::Outcome {
+                    request: txn,
+                    attempt: shot,
+                    member: node,
+                    ending,
+                    took: took_us,
+                    closed: no_more,
+                    position,
+                    role: match mark & 3 {
+                        1 => Some(Role::Primary),
+                        2 => Some(Role::Replica),
+                        _ => None,
+                    },
+                    report: report(known, metrics),
                 }
             }
-            Wire::Done { txn, no_more, node, mark, status, took_us, shot, metrics } => Event::Outcome {
-                request: txn,
-                attempt: shot,
-                member: node,
-                ending: ending(&status)?,
-                took: took_us,
-                closed: no_more,
-                position: (mark >> 2 > 0)
-                    .then(|| known.origin.saturating_add(((mark >> 2) as Time).saturating_mul(1000))),
-                role: match mark & 3 {
-                    1 => Some(Role::Primary),
-                    2 => Some(Role::Replica),
-                    _ => None,
-                },
-                report: report(known, metrics),
-            },
             Wire::Withdrawn { txn } => Event::Withdrawn { request: txn },
             Wire::Wakeup { handle } => Event::Timer { token: handle },
             Wire::HealthResult { node, status, metrics } => {
@@ -244,7 +299,10 @@
 
 fn configure(seed: u64, info: &Info) -> Result<Instance, String> {
     let settings = info.settings()?;
+    let needs: Vec<Need> = settings.classes.iter().map(|class| class.need).collect();
     Ok(Instance {
+        sessions: Sessions::new(info, &needs),
+        needs,
         classes: settings.classes.iter().enumerate().map(|(place, c)| (c.name.clone(), place)).collect(),
         origin: info.origin(),
         reports: info.report_names().to_vec(),
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,7 +10,8 @@
 use petrelgauge::net::front::Front;
 use petrelgauge::net::hosts::Hosts;
 use petrelgauge::net::room::Room;
-use petrelgauge::Time;
+use petrelgauge::{Class, Need, Time};
+use petrelgauge_sessions::{self as sessions, Keeper};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -54,7 +55,9 @@
     // Clients hold at most a third of the descriptors.
     settings.most_open = settings.most_open.min(config.sockets as u32 / 3);
     let classes = settings.classes.clone();
-    let facade = Facade::new(settings, config.seed).map_err(|cause| format!("settings: {cause}"))?;
+    let sessions = remembered(&config, &classes)?;
+    let facade = Facade::with_sessions(settings, config.seed, sessions)
+        .map_err(|cause| format!("settings: {cause}"))?;
     let clock = Clock::start();
     let counters = Rc::new(Counters::default());
     let budget = Budget::new(config.sockets, config.memory);
@@ -111,6 +114,18 @@
     Ok(())
 }
 
+/// The sessions that the deployment asks for by itself: marks of this instance's own answers, since its start.
+fn remembered(config: &Config, classes: &[Class]) -> Result<Option<(Keeper, Vec<usize>)>, String> {
+    let reads = classes.iter().any(|class| class.need == Need::Session);
+    if !reads || !config.info.remembers_sessions() {
+        return Ok(None);
+    }
+    let settings = sessions::Settings { roams: false, tokens: false, ..sessions::Settings::default() };
+    let keeper = Keeper::new(settings, 0).map_err(|cause| format!("sessions: {cause}"))?;
+    let carrying = |place: &usize| matches!(classes[*place].need, Need::Write | Need::Session);
+    Ok(Some((keeper, (0..classes.len()).filter(carrying).collect())))
+}
+
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // A gateway that starts again finds connections of its last run still winding up.
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,6 +1,6 @@
 //! Client sessions: PostgreSQL's simple queries in, one final answer out for each.
 
-use crate::facade::{Decision, Facade, Request};
+use crate::facade::{Decision, Facade, Request, Visit};
 use crate::net::budget::{Budget, Hold, Idleness, Slot};
 use crate::net::clock::Clock;
 use crate::net::counters::{Counters, Gauge};
@@ -8,7 +8,8 @@
 use crate::net::hosts::{Given, Hosts};
 use crate::net::pg::{self, Answer, Framer, Message, Opening, Severity};
 use crate::net::room::Room;
-use crate::net::statement::{self, Statement};
+use crate::net::set::{self, Setting};
+use crate::net::statement::Statement;
 use crate::{Class, Effect, Need, Time};
 use bytes::{Buf, Bytes};
 use std::cell::RefCell;
@@ -41,6 +42,8 @@
 /// Queries, and bytes of them, that may wait while one is being answered.
 const AHEAD: usize = 64;
 const AHEAD_BYTES: usize = 2 * pg::MOST;
+/// Groups whose tokens a client may have set.
+const MOST_MARKS: usize = 16;
 
 /// What all sessions share.
 pub struct Front {
@@ -113,6 +116,7 @@
             shed: Rc::new(Notify::new()),
             stopping: self.stopping.clone(),
             flaws: 0,
+            marks: VecDeque::new(),
             trusted: false,
         };
         let end = session.run(number).await;
@@ -120,6 +124,14 @@
         self.counters.ended(end);
     }
 
+    /// Tells the session's token, where its client carries one.
+    fn put_mark(&self, out: &mut Vec<u8>, taken: &Taken) {
+        let key = taken.request.session.as_ref().map(|visit| visit.key);
+        if let Some(token) = key.and_then(|key| self.facade.token(self.clock.now(), key)) {
+            pg::put_status(out, set::MARK, &token);
+        }
+    }
+
     /// Marks a request as open. None if another with that name is.
     fn claim(self: &Rc<Self>, id: &str) -> Option<Claim> {
         let id: Rc<str> = id.into();
@@ -304,6 +316,8 @@
     stopping: watch::Receiver<bool>,
     /// Statements in a row that could not be used.
     flaws: u32,
+    /// Session tokens that it set, by group; the oldest gives way.
+    marks: VecDeque<String>,
     /// It has sent a statement that could be used.
     trusted: bool,
 }
@@ -452,8 +466,14 @@
         let mut out = Vec::new();
         if text.iter().all(|byte| byte.is_ascii_whitespace() || *byte == b';') {
             pg::put_empty(&mut out);
-        } else if let Some(tag) = without_effect(&text) {
-            pg::put_complete(&mut out, tag);
+        } else if let Some(setting) = set::read(&text) {
+            match self.set(setting) {
+                Ok(tag) => pg::put_complete(&mut out, tag),
+                Err((code, cause)) => {
+                    self.front.counters.bad_statements.add();
+                    pg::put_error(&mut out, Severity::Error, code, &cause, None);
+                }
+            }
         } else {
             match self.read_statement(&text, at) {
                 Ok(taken) => {
@@ -462,7 +482,7 @@
                 }
                 Err((code, cause)) => {
                     self.front.counters.bad_statements.add();
-                    pg::put_error(&mut out, Severity::Error, code, cause, None);
+                    pg::put_error(&mut out, Severity::Error, code, &cause, None);
                     self.flaws = (self.flaws + 1).min(16);
                 }
             }
@@ -480,36 +500,75 @@
         Ok(())
     }
 
-    fn read_statement(&self, text: &Bytes, at: Time) -> Result<Taken, (&'static str, &'static str)> {
-        let statement = Statement::parse(text).map_err(|cause| ("42601", cause))?;
+    /// Carries out what may be set here: the session's tokens. All other settings have no effect.
+    fn set(&mut self, setting: Setting) -> Result<&'static str, Flawed> {
+        match &setting {
+            Setting::Mark(text) if self.front.facade.keeps_sessions() => {
+                for token in text.split('+').filter(|token| !token.is_empty()) {
+                    let group =
+                        self.front.facade.group_of(token).map_err(|cause| ("22023", cause.to_string()))?;
+                    // The newest of a group is all that its answers were told.
+                    self.marks.retain(|known| self.front.facade.group_of(known) != Ok(group));
+                    self.marks.push_back(token.to_string());
+                }
+                let excess = self.marks.len().saturating_sub(MOST_MARKS);
+                self.marks.drain(..excess);
+            }
+            Setting::NoMark | Setting::Discard => self.marks.clear(),
+            Setting::Mark(_) | Setting::Other | Setting::Reset => {}
+        }
+        Ok(setting.tag())
+    }
+
+    /// The session of a request, if its class carries sessions, with the tokens that its comment or its
+    /// connection brought.
+    fn visit(&self, place: usize, statement: &Statement) -> Result<Option<Visit>, Flawed> {
+        let facade = &self.front.facade;
+        if !facade.carries(place) {
+            return Ok(None);
+        }
+        let name = statement.session.as_ref().unwrap_or(&statement.name);
+        let brought =
+            statement.mark.iter().flat_map(|text| text.split('+')).filter(|token| !token.is_empty());
+        let set = self.marks.iter().map(String::as_str);
+        let set = set.filter(|token| facade.group_of(token) == Ok(statement.cluster));
+        let tokens: Vec<&str> = brought.chain(set).collect();
+        facade.visit(statement.cluster, name, &tokens).map_err(|cause| ("22023", cause.to_string()))
+    }
+
+    fn read_statement(&self, text: &Bytes, at: Time) -> Result<Taken, Flawed> {
+        let statement = Statement::parse(text).map_err(|cause| ("42601", cause.to_string()))?;
         let named = self.front.classes.iter().position(|class| class.name == statement.class);
-        let place = named.ok_or(("22023", "no such class"))?;
+        let unusable = |code: &'static str, cause: &str| Err((code, cause.to_string()));
+        let Some(place) = named else { return unusable("22023", "no such class") };
         let class = &self.front.classes[place];
         if statement.write != (class.need == Need::Write) {
-            return Err(("42601", "the statement does not fit its class"));
+            return unusable("42601", "the statement does not fit its class");
         }
         if matches!(class.effect, Effect::Keyed { .. }) && !statement.keyed {
-            return Err(("22023", "its class asks for a key, and the comment names no k"));
+            return unusable("22023", "its class asks for a key, and the comment names no k");
         }
         // Two tries' time would be generous; no client of the class waits longer than its deadline.
         let wait = (statement.wait_ms as Time).saturating_mul(1000);
         if wait > class.deadline.saturating_mul(2) {
-            return Err(("22023", "its class gives no request so long a time"));
+            return unusable("22023", "its class gives no request so long a time");
         }
         if !self.front.facade.may_serve(statement.cluster) {
-            return Err(("22023", "no such cluster"));
+            return unusable("22023", "no such cluster");
         }
+        let session = self.visit(place, &statement)?;
         let Some(claim) = self.front.claim(&statement.id) else {
-            return Err(("22023", "another open request has this id"));
+            return unusable("22023", "another open request has this id");
         };
-        let with_session = matches!(class.need, Need::Write | Need::Session);
+        let reads_session = class.need == Need::Session;
         let request = Request {
             class: place,
             group: statement.cluster,
             until: at.saturating_add(wait),
             repeat: statement.repeat,
-            session: with_session.then(|| statement.name.as_str().into()),
-            session_age: statement.after_ms.map(|ms| (at - (ms as Time).saturating_mul(1000)).max(0)),
+            at,
+            after: statement.after_ms.filter(|_| reads_session).map(|ms| (ms as Time).saturating_mul(1000)),
+            session,
         };
         Ok(Taken { request, statement: Rc::new(statement), _claim: claim })
     }
@@ -522,6 +581,7 @@
         match &given {
             Final::Given(Given { answer: Answer::Row(row), .. }) => {
                 counters.served.add();
+                self.front.put_mark(&mut out, &taken);
                 pg::put_ready(&mut out);
                 let [first, second, third] =
                     [0, 1, 2].map(|place| row.get(place).cloned().unwrap_or_default());
@@ -542,6 +602,8 @@
                 counters.failed.add();
                 let text = "no answer in time; it may have had an effect";
                 pg::put_error(&mut out, Severity::Error, "40003", text, None);
+                // It may have written: what its session reads next must be as new as this moment.
+                self.front.put_mark(&mut out, &taken);
             }
         }
         pg::put_ready(&mut out);
@@ -580,6 +642,9 @@
     }
 }
 
+/// Code and cause of a statement that cannot be used.
+type Flawed = (&'static str, String);
+
 /// A request that was taken in.
 struct Taken {
     request: Request,
@@ -602,16 +667,6 @@
     }
 }
 
-/// What drivers say at their start and what would have no effect here.
-fn without_effect(text: &[u8]) -> Option<&'static str> {
-    match statement::verb(text).to_ascii_uppercase().as_slice() {
-        b"SET" => Some("SET"),
-        b"RESET" => Some("RESET"),
-        b"DISCARD" => Some("DISCARD ALL"),
-        _ => None,
-    }
-}
-
 fn put_unsupported(out: &mut Vec<u8>) {
     pg::put_error(out, Severity::Error, "0A000", "only simple queries are served", None);
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,4 +11,5 @@
 pub mod hosts;
 pub mod pg;
 pub mod room;
+pub mod set;
 pub mod statement;
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -5,6 +5,16 @@
 
 /// Longest message taken from either side. A value has 64 KiB at most and twice that as hexadecimal digits.
 pub const MOST: usize = 160 * 1024;
+/// A setting that a client is told of, beside what it asked for.
+pub fn put_status(out: &mut Vec<u8>, name: &str, value: &str) {
+    out.push(b'S');
+    out.extend_from_slice(&(4 + name.len() as u32 + value.len() as u32 + 2).to_be_bytes());
+    for text in [name, value] {
+        out.extend_from_slice(text.as_bytes());
+        out.push(0);
+    }
+}
+
 /// Longest startup message, as PostgreSQL has it.
 const MOST_STARTUP: usize = 10_000;
 
--- a/src/net/statement.rs
+++ b/src/net/statement.rs
@@ -24,6 +24,10 @@
     pub keyed: bool,
     /// The group.
     pub cluster: u64,
+    /// Its session, where it is not the quoted key that names it.
+    pub session: Option<String>,
+    /// The session's tokens, parted by `+`.
+    pub mark: Option<String>,
     /// Commit that a session read must see, in Unix milliseconds.
     pub after_ms: Option<u64>,
     /// Marked as a retry.
@@ -50,6 +54,7 @@
         let body = word(&comment).map_err(|_| "the comment is not UTF-8")?;
         let (mut id, mut class, mut wait, mut cluster) = (None, None, None, None);
         let (mut after, mut key, mut repeat) = (None, None, None);
+        let (mut session, mut mark) = (None, None);
         let mut place = comment.start;
         for pair in body.split(',') {
             let (field, value) = pair.split_once('=').ok_or("the comment holds something without a value")?;
@@ -66,6 +71,8 @@
                 "after" => once(&mut after, number(value)?)?,
                 "k" => once(&mut key, value)?,
                 "r" => once(&mut repeat, value)?,
+                "session" => once(&mut session, value)?,
+                "mark" => once(&mut mark, value)?,
                 _ => {}
             }
         }
@@ -79,6 +86,8 @@
             wait_ms,
             keyed: key.is_some_and(|key| !key.is_empty()),
             cluster: cluster.ok_or("the comment names no cluster")?,
+            session: session.filter(|name| !name.is_empty()).map(str::to_string),
+            mark: mark.map(str::to_string),
             after_ms: after,
             repeat: repeat == Some("1"),
             text: text.clone(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -122,6 +122,11 @@
         self.family_info.origin_time_us
     }
 
+    /// Session reads must see the writes that this instance saw served; else their clients name the commit.
+    pub fn remembers_sessions(&self) -> bool {
+        self.family_info.session_marks == "kept"
+    }
+
     /// What the values of a load report are called, in their order.
     pub fn report_names(&self) -> &[String] {
         &self.reporting.names
@@ -183,7 +188,7 @@
                 "static" => ListRole::Static,
                 _ => ListRole::Absent,
             },
-            session_marks_kept: family.session_marks == "kept",
+            hold: 0,
             crossing_price: self.penalties.cross_zone,
             probe_price: self.penalties.probe,
             classes,
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -39,7 +39,8 @@
 
     fn admit(&mut self, class: usize, left: Time) -> Ticket {
         let until = self.now + left;
-        self.facade.admit(Request { class, group: G, until, repeat: false, session: None, session_age: None })
+        let (at, after, session) = (self.now, None, None);
+        self.facade.admit(Request { class, group: G, until, repeat: false, at, after, session })
     }
 
     fn send(&mut self, ticket: &mut Ticket) -> Attempt {
