Add the laboratory with the experiment of sessions, the operator's file, bulletins by datagram

Need: no bench of the users shows sessions across gateways, restart waves, lag on command or lost messages between instances.

Change: crates/lab emulates groups (lag, slow replay, old copies, take-overs with lost commits, a deposed primary that still believes), register, datagram paths (30% lost, doubled, late, altered) and clients, before real gateway processes; a ledger counts what each session was owed. crates/records reads the operator's file. The gateway takes PETRELGAUGE_FILE, and exchanges bulletins with its peers where that file says so.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What a maintainer needs day by day. `make test` is what CI runs.
-.PHONY: build test lint fmt run clean
+.PHONY: build test lint fmt run demo lab clean
 
 build:
 	cargo build --release --locked
@@ -14,6 +14,15 @@
 fmt:
 	cargo fmt --all
 
+# The gateway before emulated hosts and register, some load, a table of what was served.
+demo:
+	cargo build --release --locked --workspace
+	target/release/petrelgauge-lab demo
+
+# The laboratory: `target/release/petrelgauge-lab list`.
+lab:
+	cargo build --release --locked --workspace
+
 # Needs GW_CONFIG; see the README.
 run: build
 	exec target/release/petrelgauge
--- /dev/null
+++ b/crates/lab/src/sessions.rs
@@ -0,0 +1,485 @@
+//! Experiment `sessions`: real gateways, replicas that lag on command, and a ledger that counts every stale read.
+
+use crate::client::{Answer, Connection};
+use crate::figures::Phase;
+use crate::gateways::CLASSES;
+use crate::ledger::{Found, Ledger};
+use crate::report::Verdict;
+use crate::stage::{Plan, Stage, BOUND};
+use crate::Options;
+use petrelgauge::Time;
+use petrelgauge_sessions::{Key, Mark, Token};
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Faults that must make the experiment fail.
+pub const PLANTS: [&str; 3] = ["boast", "unverified", "skew"];
+
+const GATEWAYS: usize = 5;
+const SESSIONS: u32 = 100;
+const ROWS: u64 = 60;
+const SECRET: u64 = 0x5e55;
+/// Mean pause of a session between two requests (seconds).
+const PAUSE: f64 = 0.04;
+
+/// One way to keep sessions, played against the same troubles.
+struct Arm {
+    name: &'static str,
+    sessions: &'static str,
+    strong: bool,
+    tokens: bool,
+    /// It promises that nothing stale passes.
+    guarded: bool,
+}
+
+const ARMS: [Arm; 5] = [
+    Arm { name: "tokens", sessions: r#"sources: ["token"]"#, strong: false, tokens: true, guarded: true },
+    Arm { name: "peers", sessions: r#"sources: ["peers"]"#, strong: false, tokens: false, guarded: true },
+    Arm { name: "primary", sessions: "", strong: true, tokens: false, guarded: false },
+    Arm {
+        name: "own memory",
+        sessions: r#"sources: [], roams: false, unknown: "ignored""#,
+        strong: false,
+        tokens: false,
+        guarded: false,
+    },
+    Arm {
+        name: "peers, no floor",
+        sessions: r#"sources: ["peers"], unknown: "ignored""#,
+        strong: false,
+        tokens: false,
+        guarded: false,
+    },
+];
+
+fn operator(arm: &Arm, error_ms: u64) -> String {
+    if arm.sessions.is_empty() {
+        return String::new();
+    }
+    format!(
+        "sessions: {{\n  classes: [\"view\", \"history\", \"pay\"]\n  secret: \"{SECRET:x}\"\n  pace: 50ms\n  token_age: 2s\n  clock_error: {error_ms}ms\n  {}\n}}\n",
+        arm.sessions
+    )
+}
+
+/// What one arm showed.
+struct Shown {
+    found: Found,
+    phases: Vec<Phase>,
+    odd: Odd,
+    counters: Vec<(&'static str, u64)>,
+    datagrams: u64,
+    bytes: u64,
+    requests: u64,
+}
+
+/// What clients with unusable tokens were told.
+#[derive(Default, Clone, Copy)]
+struct Odd {
+    /// Sent, and answered as 22023.
+    bad: [u64; 2],
+}
+
+/// Runs it.
+pub fn run(options: &Options) -> std::io::Result<Verdict> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, all(options))
+}
+
+async fn all(options: &Options) -> std::io::Result<Verdict> {
+    let program = options.program()?;
+    let seconds = if options.short { 8.0 } else { 12.0 };
+    let mut shown = Vec::new();
+    for arm in &ARMS {
+        let one = play(arm, options, program.clone(), seconds).await?;
+        eprintln!("{:16} {:?}", arm.name, one.found);
+        shown.push((arm, one));
+    }
+    Ok(judge(options, &shown))
+}
+
+fn judge(options: &Options, shown: &[(&Arm, Shown)]) -> Verdict {
+    let mut verdict = Verdict::new("sessions", options.seed);
+    let of = |name: &str| shown.iter().find(|(arm, _)| arm.name == name).map(|(_, one)| one);
+    for (arm, one) in shown {
+        let wrong = one.found.stale + one.found.backwards;
+        if arm.guarded {
+            verdict.promise(format!("{}: nothing stale and nothing backwards", arm.name), wrong == 0);
+            let [sent, told] = one.odd.bad;
+            verdict.promise(format!("{}: unusable tokens are told so", arm.name), sent == told);
+        } else if !arm.strong {
+            verdict.promise(format!("{}: the baseline is seen to be wrong", arm.name), wrong > 0);
+        }
+    }
+    if let (Some(tokens), Some(peers), Some(primary)) = (of("tokens"), of("peers"), of("primary")) {
+        for (one, name, least) in [(tokens, "tokens", 0.8), (peers, "peers", 0.6)] {
+            let calm = &one.phases[0];
+            let share = calm.replica_share() / calm.oracle_share().max(1e-9);
+            verdict.promise(format!("{name}: in calm {least} of the oracle's replica share"), share >= least);
+            let (wave, other) = (&one.phases[2], &primary.phases[2]);
+            let enough = wave.served_share() >= other.served_share() - 0.02;
+            verdict.promise(format!("{name}: in the restart wave no worse than all to the primary"), enough);
+        }
+    }
+    let arms = shown.iter().map(|(arm, one)| (arm.name.to_string(), json(one)));
+    verdict.figures = Value::Object(arms.collect());
+    for (arm, one) in shown {
+        for phase in &one.phases {
+            verdict.bar("replica share", arm.name, phase.name, phase.replica_share());
+            verdict.bar("p99, ms", arm.name, phase.name, phase.quantile(0.99));
+            verdict.bar("served share", arm.name, phase.name, phase.served_share());
+        }
+    }
+    verdict
+}
+
+fn json(one: &Shown) -> Value {
+    let phases: serde_json::Map<String, Value> =
+        one.phases.iter().map(|phase| (phase.name.to_string(), phase.json())).collect();
+    let counters: serde_json::Map<String, Value> =
+        one.counters.iter().map(|(name, count)| (name.to_string(), json!(count))).collect();
+    json!({
+        "reads": one.found.reads, "writes": one.found.writes, "stale": one.found.stale,
+        "backwards": one.found.backwards, "excused": one.found.excused,
+        "messages_a_request": one.datagrams as f64 / one.requests.max(1) as f64,
+        "message_bytes_a_request": one.bytes as f64 / one.requests.max(1) as f64,
+        "phases": phases, "counters": counters,
+        "bad_tokens": one.odd.bad[0], "bad_tokens_told": one.odd.bad[1],
+    })
+}
+
+/// What all sessions of an arm share.
+struct Crowd {
+    stage: Rc<Stage>,
+    ledger: RefCell<Ledger>,
+    phases: RefCell<Vec<Phase>>,
+    phase: Cell<usize>,
+    requests: Cell<u64>,
+    tokens: bool,
+    unverified: bool,
+    until: Time,
+    odd: Cell<Odd>,
+}
+
+async fn play(arm: &Arm, options: &Options, program: PathBuf, seconds: f64) -> std::io::Result<Shown> {
+    let plant = options.plant.as_deref();
+    let skew = plant == Some("skew");
+    let plan = Plan {
+        gateways: GATEWAYS,
+        groups: 2,
+        members: 5,
+        seed: options.seed,
+        // The fault: clocks differ, and the operator does not say so.
+        operator: operator(arm, if options.seed.is_multiple_of(2) && !skew { 50 } else { 0 }),
+        strong: arm.strong,
+        loss: 0.3,
+        shift_ms: if skew {
+            500
+        } else if options.seed.is_multiple_of(2) {
+            50
+        } else {
+            0
+        },
+        program,
+    };
+    let stage = Stage::start(plan).await?;
+    let clock = stage.farm.clock;
+    stage.farm.lost_answers.set(0.02);
+    if plant == Some("boast") {
+        stage.farm.boast.set(400_000);
+    }
+    let crowd = Rc::new(Crowd {
+        ledger: RefCell::default(),
+        phases: RefCell::new(["calm", "lag", "wave", "takeover"].map(Phase::new).into()),
+        phase: Cell::new(0),
+        requests: Cell::new(0),
+        tokens: arm.tokens,
+        unverified: plant == Some("unverified"),
+        until: clock.now() + (seconds * 1e6) as Time,
+        odd: Cell::default(),
+        stage: stage.clone(),
+    });
+    let mut tasks = tokio::task::JoinSet::new();
+    for number in 0..SESSIONS {
+        tasks.spawn_local(Session::new(crowd.clone(), number, options.seed).live());
+    }
+    if arm.tokens {
+        tasks.spawn_local(odd_client(crowd.clone(), options.seed));
+    }
+    trouble(&crowd, (seconds * 1e6) as Time / 4).await?;
+    while tasks.join_next().await.is_some() {}
+    stage.stop().await;
+    let names = ["by_token", "by_memory", "by_peers", "open", "settled", "behind", "bad_bulletins", "gaps"];
+    let counters = names.into_iter().map(|name| (name, stage.counted(name))).collect();
+    let [datagrams, bytes] = stage.paths.delivered.each_ref().map(Cell::get);
+    let (found, odd, requests) = (crowd.ledger.borrow().found(), crowd.odd.get(), crowd.requests.get());
+    let phases = crowd.phases.take();
+    Ok(Shown { found, phases, odd, counters, datagrams, bytes, requests })
+}
+
+/// A quarter each: calm, slow replay, a restart wave, a primary that hangs and comes back believing.
+async fn trouble(crowd: &Crowd, quarter: Time) -> std::io::Result<()> {
+    let (stage, clock) = (&crowd.stage, crowd.stage.farm.clock);
+    let groups = &stage.farm.groups;
+    let begin = clock.now();
+    let mut before = stage.farm.reads[1].get();
+    let mut turn = |phase: usize| {
+        let now = stage.farm.reads[1].get();
+        crowd.phases.borrow_mut()[crowd.phase.get()].at_primary += now - std::mem::replace(&mut before, now);
+        crowd.phase.set(phase);
+    };
+    clock.sleep_until(begin + quarter / 2).await;
+    // A replica is replaced by a machine with a copy 5 s old.
+    groups[0].borrow_mut().replace(3, 5_000_000, clock.now());
+    clock.sleep_until(begin + quarter).await;
+    turn(1);
+    groups.iter().for_each(|group| group.borrow_mut().slow(18.0, clock.now()));
+    clock.sleep_until(begin + 2 * quarter).await;
+    groups.iter().for_each(|group| group.borrow_mut().slow(1.0, clock.now()));
+    turn(2);
+    // 86% of the gateways, one after the other.
+    for number in 0..GATEWAYS - 1 {
+        stage.restart(number, quarter / 16).await?;
+        clock.sleep_until(begin + 2 * quarter + (number as Time + 1) * quarter / 5).await;
+    }
+    clock.sleep_until(begin + 3 * quarter).await;
+    turn(3);
+    let hung = groups[0].borrow_mut().hang(clock.now());
+    clock.sleep_until(begin + 3 * quarter + quarter / 3).await;
+    groups[0].borrow_mut().take_over(clock.now());
+    clock.sleep_until(begin + 3 * quarter + quarter / 2).await;
+    if let Some(hung) = hung {
+        groups[0].borrow_mut().wake(hung);
+        clock.sleep_until(clock.now() + 400_000).await;
+        groups[0].borrow_mut().demote(hung, clock.now());
+    }
+    clock.sleep_until(begin + 4 * quarter).await;
+    turn(3);
+    Ok(())
+}
+
+/// One session of a client: it writes and reads through any gateway, sometimes two reads at a time.
+struct Session {
+    crowd: Rc<Crowd>,
+    number: u32,
+    rng: Pcg64Mcg,
+    idle: HashMap<usize, Connection>,
+    tokens: Vec<String>,
+    asked: u64,
+}
+
+impl Session {
+    fn new(crowd: Rc<Crowd>, number: u32, seed: u64) -> Session {
+        let rng = Pcg64Mcg::seed_from_u64(seed ^ (u64::from(number) + 1) << 20);
+        Session { crowd, number, rng, idle: HashMap::new(), tokens: Vec::new(), asked: 0 }
+    }
+
+    async fn live(mut self) {
+        let clock = self.crowd.stage.farm.clock;
+        let pause = Exp::new(1.0 / PAUSE).unwrap_or_else(|cause| unreachable!("a constant rate: {cause}"));
+        while clock.now() < self.crowd.until {
+            let span = pause.sample(&mut self.rng).min(1.0);
+            clock.sleep_until(clock.now() + (span * 1e6) as Time).await;
+            let row = (u64::from(self.number) + self.rng.random_range(0..3)) % ROWS;
+            let place = self.rng.random_range(0..GATEWAYS);
+            match self.rng.random_range(0..10) {
+                0..3 => {
+                    self.write(place, row).await;
+                    if self.rng.random_bool(0.6) {
+                        clock.sleep_until(clock.now() + 2_000).await;
+                        self.read(&[(place + 1) % GATEWAYS], row).await;
+                    }
+                }
+                3 => self.read(&[place, (place + 2) % GATEWAYS], row).await,
+                _ => self.read(&[place], row).await,
+            }
+        }
+    }
+
+    /// The comment of a request; the row's group is its remainder.
+    fn comment(&mut self, class: &str, row: u64, wait: u64, held: &[String]) -> String {
+        self.asked += 1;
+        self.crowd.requests.set(self.crowd.requests.get() + 1);
+        let (number, asked, group) = (self.number, self.asked, row % 2 + 2);
+        let mut text = format!("id={number}x{asked},c={class},d={wait},cluster={group},session=s{number}");
+        let held: Vec<&String> = held.iter().filter(|token| group_of(token) == Some(group)).collect();
+        if !held.is_empty() {
+            let joined: Vec<&str> = held.iter().map(|token| token.as_str()).collect();
+            text += &format!(",mark={}", joined.join("+"));
+        }
+        text
+    }
+
+    fn held(&self, row: u64) -> Vec<String> {
+        let of = |token: &&String| group_of(token) == Some(row % 2 + 2);
+        self.tokens.iter().filter(of).take(5).cloned().collect()
+    }
+
+    /// The token of an answer takes the place of those that came with its request.
+    fn replace(&mut self, held: &[String], token: Option<String>) {
+        if let Some(token) = token.filter(|_| self.crowd.tokens) {
+            self.tokens.retain(|known| !held.contains(known));
+            self.tokens.push(if self.crowd.unverified { forged(&token) } else { token });
+        }
+    }
+
+    async fn write(&mut self, place: usize, row: u64) {
+        let held = self.held(row);
+        let comment = self.comment(CLASSES[2], row, 3_000, &held);
+        let (number, asked) = (self.number, self.asked);
+        let text = format!(
+            "INSERT INTO kv (name, content) VALUES ('r{row}', '\\x00') RETURNING content /* {comment},k={number}k{asked} */"
+        );
+        match ask(&mut self.idle, &self.crowd.stage, place, &text, 3_200).await {
+            Answer::Row(version, token) => {
+                self.crowd.ledger.borrow_mut().wrote(self.number, row, version);
+                self.replace(&held, token);
+            }
+            Answer::Error(_, token) => self.replace(&held, token),
+            Answer::Nothing => {}
+        }
+    }
+
+    /// Reads a row, at one gateway or at two at the same time.
+    async fn read(&mut self, places: &[usize], row: u64) {
+        let crowd = self.crowd.clone();
+        let (held, class) = (self.held(row), CLASSES[self.rng.random_range(0..2)]);
+        let (owed, clock) = (crowd.ledger.borrow().begins(self.number, row), crowd.stage.farm.clock);
+        let (began, group) = (clock.now(), (row % 2) as usize);
+        let could = {
+            let mut state = crowd.stage.farm.groups[group].borrow_mut();
+            let commit = state.commit_of(row, owed.wrote.max(owed.read));
+            let least = if class == CLASSES[0] { commit.max(began - BOUND) } else { commit };
+            let leader = state.leader();
+            (0..state.members.len())
+                .any(|place| Some(place) != leader && state.position(place, began) >= least)
+        };
+        let mut texts = Vec::new();
+        for _ in places {
+            let comment = self.comment(class, row, 1_200, &held);
+            texts.push(format!("SELECT content FROM kv WHERE name = 'r{row}' /* {comment} */"));
+        }
+        let mut others = HashMap::new();
+        let answers = match (places, &texts[..]) {
+            ([one], [text]) => vec![ask(&mut self.idle, &crowd.stage, *one, text, 1_400).await],
+            ([one, two, ..], [text, other, ..]) => {
+                let first = ask(&mut self.idle, &crowd.stage, *one, text, 1_400);
+                let second = ask(&mut others, &crowd.stage, *two, other, 1_400);
+                let (first, second) = tokio::join!(first, second);
+                vec![first, second]
+            }
+            _ => Vec::new(),
+        };
+        let took = clock.now() - began;
+        for answer in answers {
+            let mut phases = crowd.phases.borrow_mut();
+            let phase = &mut phases[crowd.phase.get()];
+            phase.asked += 1;
+            phase.oracle += u64::from(could);
+            match answer {
+                Answer::Row(version, token) => {
+                    phase.served += 1;
+                    phase.took(took);
+                    let lost = &crowd.stage.farm.groups[group].borrow().lost;
+                    crowd.ledger.borrow_mut().read(self.number, row, owed, version, lost);
+                    self.replace(&held, token);
+                }
+                Answer::Error(code, token) => {
+                    let refused = code == "53300";
+                    phase.refused += u64::from(refused);
+                    phase.failed += u64::from(!refused);
+                    self.replace(&held, token);
+                }
+                Answer::Nothing => phase.failed += 1,
+            }
+        }
+    }
+}
+
+/// Asks over an idle connection to this gateway, or a new one.
+async fn ask(
+    idle: &mut HashMap<usize, Connection>,
+    stage: &Stage,
+    place: usize,
+    text: &str,
+    wait_ms: u64,
+) -> Answer {
+    let wait = Duration::from_millis(wait_ms);
+    if let Some(mut known) = idle.remove(&place) {
+        let answer = known.ask(text, wait).await;
+        if answer != Answer::Nothing {
+            idle.insert(place, known);
+            return answer;
+        }
+        // A connection that was closed before the request was read: once more over a new one.
+    }
+    let Ok(mut fresh) = Connection::open(stage.addresses[place]).await else { return Answer::Nothing };
+    let answer = fresh.ask(text, wait).await;
+    if answer != Answer::Nothing {
+        idle.insert(place, fresh);
+    }
+    answer
+}
+
+fn group_of(token: &str) -> Option<u64> {
+    Token::read(token, SECRET).ok().map(|token| token.key.group)
+}
+
+/// The fault `unverified`: a token whose marks were struck out and which passes nevertheless.
+fn forged(token: &str) -> String {
+    let read = Token::read(token, SECRET);
+    read.map_or(String::new(), |token| Token { mark: Mark::NONE, ..token }.write(SECRET))
+}
+
+/// A client that sends tokens that are altered, of another session or of another group, and old ones of its own:
+/// the first three must be told so, the last must not make it see less.
+async fn odd_client(crowd: Rc<Crowd>, seed: u64) {
+    let number = SESSIONS + 7;
+    let mut one = Session::new(crowd.clone(), number, seed);
+    let clock = crowd.stage.farm.clock;
+    let mut turn = 0;
+    while clock.now() < crowd.until {
+        let row = u64::from(number) % ROWS;
+        one.tokens.clear();
+        one.write(turn % GATEWAYS, row).await;
+        let Some(token) = one.tokens.pop() else { continue };
+        let sound =
+            Token::read(&token, SECRET).unwrap_or_else(|cause| unreachable!("its own token: {cause}"));
+        let key = |group: u64, name: u64| Key { group, name };
+        let strange = [
+            token.chars().rev().collect::<String>(),
+            Token { key: key(sound.key.group, sound.key.name ^ 1), ..sound }.write(SECRET),
+            Token { key: key(5, sound.key.name), ..sound }.write(SECRET),
+        ];
+        for mark in strange {
+            one.asked += 1;
+            let (asked, group) = (one.asked, row % 2 + 2);
+            let text = format!(
+                "SELECT content FROM kv WHERE name = 'r{row}' /* id={number}y{asked},c=history,d=1200,cluster={group},session=s{number},mark={mark} */"
+            );
+            let answer = ask(&mut one.idle, &crowd.stage, (turn + 1) % GATEWAYS, &text, 1_400).await;
+            let mut odd = crowd.odd.get();
+            if answer != Answer::Nothing {
+                odd.bad[0] += 1;
+                odd.bad[1] += u64::from(matches!(answer, Answer::Error(code, _) if code == "22023"));
+            }
+            crowd.odd.set(odd);
+        }
+        // Older than a token may be, with writes since that only other answers told of.
+        for _ in 0..11 {
+            clock.sleep_until(clock.now() + 200_000).await;
+            one.tokens.clear();
+            one.write((turn + 2) % GATEWAYS, row).await;
+        }
+        one.tokens = vec![token];
+        one.read(&[(turn + 1) % GATEWAYS], row).await;
+        turn += 1;
+    }
+}
--- /dev/null
+++ b/crates/lab/src/stage.rs
@@ -0,0 +1,144 @@
+//! A stage: emulated hosts and register, the paths between instances, and real gateways before them.
+
+use crate::gateways::{Gateway, Tier};
+use crate::hosts::Farm;
+use crate::register::Register;
+use crate::relay::Paths;
+use petrelgauge::Time;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+
+/// How a stage is set up.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Gateways, groups, and members of each group.
+    pub gateways: usize,
+    /// Groups.
+    pub groups: usize,
+    /// Members of each group.
+    pub members: usize,
+    /// Seed of all chance.
+    pub seed: u64,
+    /// The operator's file.
+    pub operator: String,
+    /// Reads need the primary.
+    pub strong: bool,
+    /// Share of datagrams that is lost.
+    pub loss: f64,
+    /// Gateways' clocks are ahead by up to this many milliseconds, the last one the most.
+    pub shift_ms: u64,
+    /// The gateway's program.
+    pub program: PathBuf,
+}
+
+/// All that was started. It ends with this value.
+pub struct Stage {
+    /// The hosts.
+    pub farm: Rc<Farm>,
+    /// The register.
+    pub register: Rc<Register>,
+    /// The paths between instances.
+    pub paths: Rc<Paths>,
+    /// The gateways.
+    pub gateways: RefCell<Vec<Gateway>>,
+    /// What gateways are told.
+    pub tier: Tier,
+    /// Where gateways listen.
+    pub addresses: Vec<SocketAddr>,
+    /// The plan.
+    pub plan: Plan,
+    _folder: Folder,
+}
+
+/// A folder for one stage, removed with it.
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// How old the data of a bounded read may be (microseconds).
+pub const BOUND: Time = 300_000;
+
+impl Stage {
+    /// Starts everything and waits until the gateways accept clients.
+    pub async fn start(plan: Plan) -> std::io::Result<Rc<Stage>> {
+        let rng = Pcg64Mcg::seed_from_u64(plan.seed);
+        let farm = Farm::start(plan.groups, plan.members, BOUND, rng).await?;
+        let (register, address) = Register::start(farm.clone(), 1_800_000).await?;
+        let paths = Paths::new(farm.clone(), plan.loss);
+        let name = format!("petrelgauge-lab-{}-{}", std::process::id(), address.port());
+        let folder = Folder(std::env::temp_dir().join(name));
+        std::fs::create_dir_all(&folder.0)?;
+        let mut hear = Vec::new();
+        for _ in 0..plan.gateways {
+            hear.push(UdpSocket::bind("127.0.0.1:0").await?.local_addr()?);
+        }
+        let mut gateways = Vec::new();
+        for number in 0..plan.gateways {
+            let mut others = Vec::new();
+            for (other, address) in hear.iter().enumerate() {
+                others.push(if other == number { *address } else { paths.open(*address).await? });
+            }
+            let others: Vec<String> = others.iter().map(|address| format!("\"{address}\"")).collect();
+            let peers = format!(r#""peer_listen":"{}","peers":[{}],"#, hear[number], others.join(","));
+            let shift = plan.shift_ms * number as u64 / (plan.gateways.max(2) as u64 - 1);
+            gateways.push(Gateway::new(number, peers, shift).await?);
+        }
+        let tier = Tier {
+            program: plan.program.clone(),
+            folder: folder.0.clone(),
+            register: address,
+            known: register.known(),
+            strong: plan.strong,
+            operator: plan.operator.clone(),
+        };
+        for gateway in &mut gateways {
+            gateway.start(&tier, plan.seed)?;
+        }
+        for gateway in &gateways {
+            if !gateway.ready().await {
+                let log = std::fs::read_to_string(folder.0.join("log0")).unwrap_or_default();
+                return Err(std::io::Error::other(format!("a gateway does not come up: {log}")));
+            }
+        }
+        let addresses = gateways.iter().map(|gateway| gateway.listen).collect();
+        let gateways = RefCell::new(gateways);
+        Ok(Rc::new(Stage { farm, register, paths, gateways, tier, addresses, plan, _folder: folder }))
+    }
+
+    /// Kills a gateway, waits, and starts it again with what the register shows now.
+    pub async fn restart(&self, number: usize, down: Time) -> std::io::Result<()> {
+        self.gateways.borrow_mut()[number].kill();
+        self.farm.clock.sleep_until(self.farm.clock.now() + down).await;
+        self.gateways.borrow_mut()[number].start(&self.tier, self.plan.seed)
+    }
+
+    /// Ends all gateways in order, so that their logs hold their counters.
+    pub async fn stop(&self) {
+        self.gateways.borrow_mut().iter_mut().for_each(Gateway::stop);
+        self.farm.clock.sleep_until(self.farm.clock.now() + 900_000).await;
+    }
+
+    /// The sum of a counter over all gateways' logs.
+    pub fn counted(&self, name: &str) -> u64 {
+        let folder: &Path = &self.tier.folder;
+        (0..self.plan.gateways).map(|number| crate::gateways::counter(folder, number, name)).sum()
+    }
+}
+
+/// The gateway's program beside this one.
+pub fn program() -> std::io::Result<PathBuf> {
+    let path = std::env::current_exe()?.with_file_name("petrelgauge");
+    match path.exists() {
+        true => Ok(path),
+        false => Err(std::io::Error::other("the gateway is not built: cargo build --release --workspace")),
+    }
+}
--- /dev/null
+++ b/crates/records/tests/files.rs
@@ -0,0 +1,62 @@
+//! Files that can be read, and one plain sentence with its place for those that cannot.
+
+use petrelgauge_records::Record;
+use proptest::prelude::*;
+
+fn error(text: &str) -> String {
+    let read = Record::read("f.cue", text).and_then(|mut file| {
+        file.record("r")?.map_or(Ok(()), |mut record| {
+            record.span("span")?;
+            record.truth("truth")?;
+            record.count("count")?;
+            record.texts("texts")?;
+            record.size("size")?;
+            record.one_of("kind", &["a", "b"])?;
+            record.end()
+        })?;
+        file.end()
+    });
+    read.err().map(|cause| cause.to_string()).unwrap_or_default()
+}
+
+#[test]
+fn files_are_read_or_named_with_place_and_reason() {
+    let cases = [
+        ("", ""),
+        ("// nothing\n", ""),
+        ("r: {span: 20ms, truth: true,\n count: 3 // three\n texts: [\"a\", \"b\",], size: 64KiB, kind: \"b\"}", ""),
+        ("\"r\": {}\n", ""),
+        ("x: 1", "f.cue:1:1: there is no field \"x\" here"),
+        ("r: {\n  other: 1\n}", "f.cue:2:3: there is no field \"other\" here"),
+        ("r: 3", "f.cue:1:4: r is a record in braces"),
+        ("r: {span: 20}", "f.cue:1:11: span is a span such as 20ms, 3s or 2m"),
+        ("r: {span: 20h}", "f.cue:1:11: span is a span such as 20ms, 3s or 2m"),
+        ("r: {span: 9223372036854775807m}", "f.cue:1:11: span is a span"),
+        ("r: {count: -1}", "f.cue:1:12: count is a whole number"),
+        ("r: {truth: yes}", "f.cue:1:12: a value is expected here"),
+        ("r: {truth: trueish}", "f.cue:1:12: a value is expected here"),
+        ("r: {texts: [\"a\", 2]}", "f.cue:1:18: texts is a list of texts"),
+        ("r: {kind: \"c\"}", "f.cue:1:11: kind is one of \"a\", \"b\", not \"c\""),
+        ("r: {count: 1\n count: 1}", "f.cue:2:2: \"count\" is set twice"),
+        ("r {", "f.cue:1:3: a colon is expected here"),
+        ("r: {count: 1", "f.cue:1:13: a closing brace is expected here"),
+        ("r: {kind: \"a\n\"}", "the end of a text is expected here"),
+        ("r: {count: int & >=1}", "f.cue:1:12: a value is expected here"),
+        ("#Class: {}", "f.cue:1:1: a field is expected here"),
+    ];
+    for (text, wanted) in cases {
+        let cause = error(text);
+        let fits = if wanted.is_empty() { cause.is_empty() } else { cause.contains(wanted) };
+        assert!(fits, "{text:?}: {cause:?} should hold {wanted:?}");
+    }
+    assert!(error(&format!("r: {}", "[".repeat(40))).contains("no further record"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: prop::test_runner::RngSeed::Fixed(5), ..Default::default() })]
+
+    #[test]
+    fn no_text_ends_the_reader(text in "[a-z{}\\[\\]:,\"0-9 /\n#-]{0,80}") {
+        let _ = Record::read("f.cue", &text);
+    }
+}
--- a/crates/sessions/src/keeper.rs
+++ b/crates/sessions/src/keeper.rs
@@ -87,6 +87,16 @@
     pub bad_bulletins: u64,
 }
 
+impl std::fmt::Display for Counts {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Counts { by_token, by_memory, by_peers, open, settled, behind, .. } = self;
+        let Counts { old_tokens, early_tokens, told, heard, bad_bulletins, .. } = self;
+        write!(f, "sessions: by_token={by_token} by_memory={by_memory} by_peers={by_peers} open={open} ")?;
+        write!(f, "settled={settled} behind={behind} old_tokens={old_tokens} early_tokens={early_tokens} ")?;
+        write!(f, "bulletins_told={told} bulletins_heard={heard} bad_bulletins={bad_bulletins}")
+    }
+}
+
 /// All that one instance knows of sessions. Has no clock: every call is told the time. A time that lies a little
 /// before the last one does no harm.
 pub struct Keeper {
@@ -373,6 +383,9 @@
         let entry = self.memory.get(key);
         let error = self.set.clock_error;
         let mut known = entry.mark.floor(self.set.promise).max(self.base);
+        if !self.set.conservative {
+            return Floor { arrived, known, open: None, source: Source::Memory };
+        }
         // What was made here and is lost was committed before this run began.
         if entry.seen < self.lost {
             known = known.max(self.ceiling(self.lost));
--- a/crates/sessions/src/settings.rs
+++ b/crates/sessions/src/settings.rs
@@ -28,6 +28,9 @@
     pub promise: Promise,
     /// What a told position is the position of.
     pub told: Told,
+    /// What is not known is asked for; else only what is known is, and a session can see less than it should
+    /// after a restart or at another instance.
+    pub conservative: bool,
     /// A session may reach more than one instance.
     pub roams: bool,
     /// Clients carry tokens: they hand back the newest one with every request.
@@ -62,6 +65,7 @@
         Settings {
             promise: Promise::WritesAndReads,
             told: Told::WithRead,
+            conservative: true,
             roams: true,
             tokens: true,
             instances: 0,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod facade;
 pub mod net;
+pub mod operator;
 pub mod settings;
 
 pub use petrelgauge_policy::*;
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,9 +9,10 @@
 use petrelgauge::net::discovery::Follower;
 use petrelgauge::net::front::Front;
 use petrelgauge::net::hosts::Hosts;
+use petrelgauge::net::peers::Peers;
 use petrelgauge::net::room::Room;
 use petrelgauge::{Class, Need, Time};
-use petrelgauge_sessions::{self as sessions, Keeper};
+use petrelgauge_sessions::{Keeper, SettingsError};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -55,10 +56,11 @@
     // Clients hold at most a third of the descriptors.
     settings.most_open = settings.most_open.min(config.sockets as u32 / 3);
     let classes = settings.classes.clone();
-    let sessions = remembered(&config, &classes)?;
+    let clock = Clock::start().ahead(config.operator.clock_shift);
+    let (sessions, others) = sessions(&config, &classes, clock.now())?;
+    settings.hold = sessions.as_ref().map_or(0, |(keeper, _)| keeper.settings().hold);
     let facade = Facade::with_sessions(settings, config.seed, sessions)
         .map_err(|cause| format!("settings: {cause}"))?;
-    let clock = Clock::start();
     let counters = Rc::new(Counters::default());
     let budget = Budget::new(config.sockets, config.memory);
     let room = Room::new();
@@ -79,6 +81,15 @@
     tasks.spawn_local(follower.follow(moved));
     tasks.spawn_local(keep_time(facade.clone(), clock));
     tasks.spawn_local(keep_clean(hosts.clone(), clock));
+    if let Some((listen, others)) = others {
+        let peers = Peers::new(listen, others).await?;
+        tasks.spawn_local(peers.talk(facade.clone(), clock, counters.clone()));
+    }
+    let seen = facade.clone();
+    let print = move |counters: &Counters| match seen.session_counts() {
+        Some((sessions, gaps)) => log::info!("{counters} {sessions} gaps={gaps}"),
+        None => log::info!("{counters}"),
+    };
     let front = Rc::new(Front {
         facade,
         hosts: hosts.clone(),
@@ -96,7 +107,7 @@
 
     loop {
         tokio::select! {
-            _ = usr1.recv() => log::info!("{counters}"),
+            _ = usr1.recv() => print(&counters),
             _ = hangup.recv() => reload(&discovery, &counters),
             _ = term.recv() => break,
             _ = interrupt.recv() => break,
@@ -110,20 +121,36 @@
     while front.open.get() > 0 || hosts.out() > 0 {
         clock.sleep_until(clock.now() + LOOK).await;
     }
-    log::info!("{counters}");
+    print(&counters);
     Ok(())
 }
 
-/// The sessions that the deployment asks for by itself: marks of this instance's own answers, since its start.
-fn remembered(config: &Config, classes: &[Class]) -> Result<Option<(Keeper, Vec<usize>)>, String> {
-    let reads = classes.iter().any(|class| class.need == Need::Session);
-    if !reads || !config.info.remembers_sessions() {
-        return Ok(None);
+/// A keeper of sessions with the classes that carry them, and where to exchange marks.
+type Kept = (Option<(Keeper, Vec<usize>)>, Option<(SocketAddr, Vec<SocketAddr>)>);
+
+/// The sessions that the operator has switched on, or else what the deployment asks for by itself: marks of this
+/// instance's own answers, since its start.
+fn sessions(config: &Config, classes: &[Class], now: Time) -> Result<Kept, String> {
+    let refused = |cause: SettingsError| format!("sessions: {cause}");
+    if let Some(set) = &config.operator.sessions {
+        let (places, mut settings) = (set.places(classes)?, set.settings.clone());
+        let mut exchange = None;
+        if set.peers {
+            let listen = config.peer_listen.ok_or("sessions: the configuration names no peer_listen")?;
+            let me = config.peers.iter().position(|peer| *peer == listen);
+            let me = me.ok_or("sessions: peer_listen is none of the peers")?;
+            (settings.me, settings.instances) = (me as u16, config.peers.len().min(u16::MAX.into()) as u16);
+            exchange = Some((listen, config.peers.iter().copied().filter(|peer| *peer != listen).collect()));
+        }
+        return Ok((Some((Keeper::new(settings, now).map_err(refused)?, places)), exchange));
+    }
+    if !classes.iter().any(|class| class.need == Need::Session) || !config.info.remembers_sessions() {
+        return Ok((None, None));
     }
-    let settings = sessions::Settings { roams: false, tokens: false, ..sessions::Settings::default() };
-    let keeper = Keeper::new(settings, 0).map_err(|cause| format!("sessions: {cause}"))?;
+    let settings = petrelgauge_sessions::Settings { roams: false, tokens: false, ..Default::default() };
     let carrying = |place: &usize| matches!(classes[*place].need, Need::Write | Need::Session);
-    Ok(Some((keeper, (0..classes.len()).filter(carrying).collect())))
+    let places = (0..classes.len()).filter(carrying).collect();
+    Ok((Some((Keeper::new(settings, 0).map_err(refused)?, places)), None))
 }
 
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -19,6 +19,12 @@
         Clock { anchor: Instant::now(), unix: unix.as_micros() as Time }
     }
 
+    /// The same clock, ahead by this span.
+    #[must_use]
+    pub fn ahead(self, span: Time) -> Clock {
+        Clock { unix: self.unix + span, ..self }
+    }
+
     /// The time.
     pub fn now(&self) -> Time {
         self.unix + self.anchor.elapsed().as_micros() as Time
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,7 @@
 //! What a gateway is told at its start: the environment and the JSON file it names.
 
 use crate::net::discovery::List;
+use crate::operator::Operator;
 use crate::settings::Info;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -24,6 +25,12 @@
     pub known: Option<List>,
     /// The settings.
     pub info: Info,
+    /// Where other instances reach this one, and where it reaches all of them, its own place among them.
+    pub peer_listen: Option<SocketAddr>,
+    /// One address for each instance, in the order of their numbers.
+    pub peers: Vec<SocketAddr>,
+    /// What the operator has set.
+    pub operator: Operator,
 }
 
 #[derive(Deserialize)]
@@ -36,6 +43,9 @@
     limits: Limits,
     known: Option<List>,
     settings: Info,
+    peer_listen: Option<String>,
+    #[serde(default)]
+    peers: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -76,7 +86,9 @@
     fn load(var: impl Fn(&str) -> Option<String>, first: First) -> Result<Config, String> {
         let path = var("GW_CONFIG").ok_or("GW_CONFIG is not set: it names the configuration file")?;
         let text = std::fs::read_to_string(&path).map_err(|cause| format!("cannot read {path}: {cause}"))?;
-        Config::parse(&text, var, first).map_err(|cause| format!("{path}: {cause}"))
+        let operator = Operator::load(var("PETRELGAUGE_FILE").as_deref())?;
+        let config = Config::parse(&text, var, first).map_err(|cause| format!("{path}: {cause}"))?;
+        Ok(Config { operator, ..config })
     }
 
     fn parse(text: &str, var: impl Fn(&str) -> Option<String>, first: First) -> Result<Config, String> {
@@ -89,6 +101,9 @@
             let text = either(name, value, first)?;
             text.parse().map_err(|_| format!("{name}: {text:?} is not an address with a port"))
         };
+        let listed = |name: &str, text: &str| -> Result<SocketAddr, String> {
+            text.parse().map_err(|_| format!("{name}: {text:?} is not an address with a port"))
+        };
         Ok(Config {
             listen: address("GW_LISTEN", file.listen, First::Environment)?,
             discovery: address("GW_DISCOVERY", file.discovery, first)?,
@@ -99,6 +114,9 @@
             memory: file.limits.memory_mb.saturating_mul(1024 * 1024),
             known: file.known,
             info: file.settings,
+            peer_listen: file.peer_listen.map(|text| listed("peer_listen", &text)).transpose()?,
+            peers: file.peers.iter().map(|text| listed("peers", text)).collect::<Result<_, _>>()?,
+            operator: Operator::default(),
         })
     }
 }
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -58,6 +58,8 @@
     watches,
     /// Times that a descriptor had to be freed.
     sheds,
+    /// Datagrams to other instances.
+    told,
 }
 
 /// One count.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod ending;
 pub mod front;
 pub mod hosts;
+pub mod peers;
 pub mod pg;
 pub mod room;
 pub mod set;
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,102 @@
+//! The operator's file: what is switched on beside the platform's settings. Without one nothing is.
+
+use crate::{Class, Need, Time};
+use petrelgauge_records::{Record, RecordError};
+use petrelgauge_sessions::{Promise, Settings, Told};
+
+/// What an operator has set.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Operator {
+    /// Sessions across instances.
+    pub sessions: Option<Sessions>,
+    /// Added to the system's clock (microseconds): for a machine whose clock is known to be late.
+    pub clock_shift: Time,
+}
+
+/// The record `sessions`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sessions {
+    /// Names of the classes that carry sessions.
+    pub classes: Vec<String>,
+    /// Marks are exchanged with the other instances.
+    pub peers: bool,
+    /// How they are kept. The instance's number among the others is not known here yet.
+    pub settings: Settings,
+}
+
+impl Operator {
+    /// Reads the file of this name, if there is one to read. The cause of a failure is one plain sentence.
+    pub fn load(path: Option<&str>) -> Result<Operator, String> {
+        let Some(path) = path else { return Ok(Operator::default()) };
+        let text = std::fs::read_to_string(path).map_err(|cause| format!("cannot read {path}: {cause}"))?;
+        Operator::read(path, &text).map_err(|cause| cause.to_string())
+    }
+
+    /// Reads the text of a file.
+    pub fn read(file: &str, text: &str) -> Result<Operator, RecordError> {
+        let mut file = Record::read(file, text)?;
+        let sessions = file.record("sessions")?.map(sessions).transpose()?;
+        let clock_shift = file.span("clock_shift")?.unwrap_or(0);
+        file.end()?;
+        Ok(Operator { sessions, clock_shift })
+    }
+}
+
+impl Sessions {
+    /// Places of the classes that carry sessions. One that the deployment lacks is an error, and so is a write's
+    /// class without reads or reads without a class that writes: then there is nothing to keep.
+    pub fn places(&self, classes: &[Class]) -> Result<Vec<usize>, String> {
+        let place = |name: &String| {
+            let found = classes.iter().position(|class| class.name == *name);
+            found.ok_or(format!("sessions: classes: the deployment has no class {name:?}"))
+        };
+        let places: Vec<usize> = self.classes.iter().map(place).collect::<Result<_, _>>()?;
+        let writes = places.iter().filter(|place| classes[**place].need == Need::Write).count();
+        if writes == 0 || writes == places.len() {
+            return Err("sessions: classes: at least one class that writes and one that reads".into());
+        }
+        Ok(places)
+    }
+}
+
+fn sessions(mut record: Record) -> Result<Sessions, RecordError> {
+    let base = Settings::default();
+    let classes = record.texts("classes")?.unwrap_or_default();
+    if classes.is_empty() {
+        return Err(record.error("sessions: classes names the classes that carry sessions"));
+    }
+    let sources = record.texts("sources")?.unwrap_or_else(|| vec!["token".into()]);
+    if let Some(other) = sources.iter().find(|name| !["token", "peers"].contains(&name.as_str())) {
+        return Err(record.error(format!("sources are \"token\" and \"peers\", not {other:?}")));
+    }
+    let promises = [Promise::Writes, Promise::WritesAndReads];
+    let promise = record.one_of("promise", &["writes", "writes-and-reads"])?.map(|place| promises[place]);
+    let told = [Told::WithRead, Told::WithAnswer];
+    let told = record.one_of("positions", &["read", "answer"])?.map(|place| told[place]);
+    let secret = record.text("secret")?.map(|text| u64::from_str_radix(&text, 16));
+    let Ok(secret) = secret.transpose() else {
+        return Err(record.error("secret is up to 16 hexadecimal digits"));
+    };
+    let Some(secret) = secret else {
+        return Err(record.error("sessions: a secret is needed, the same at all instances"));
+    };
+    let settings = Settings {
+        promise: promise.unwrap_or(base.promise),
+        told: told.unwrap_or(base.told),
+        conservative: record.one_of("unknown", &["asked-for", "ignored"])? != Some(1),
+        roams: record.truth("roams")?.unwrap_or(base.roams),
+        tokens: sources.iter().any(|name| name == "token"),
+        exact: record.count("exact")?.map_or(base.exact, |count| count as usize),
+        cells: record.count("cells")?.map_or(base.cells, |count| count as usize),
+        token_age: record.span("token_age")?.unwrap_or(base.token_age),
+        clock_error: record.span("clock_error")?.unwrap_or(base.clock_error),
+        granule: record.span("granule")?.unwrap_or(base.granule),
+        pace: record.span("pace")?.unwrap_or(base.pace),
+        hold: record.span("hold")?.unwrap_or(base.hold),
+        secret,
+        ..base
+    };
+    settings.check().map_err(|cause| record.error(format!("sessions: {cause}")))?;
+    record.end()?;
+    Ok(Sessions { classes, peers: sources.iter().any(|name| name == "peers"), settings })
+}
