Test sessions through the facade and with a client library; first requests say they are new

Change: a client may bring mark=new, which says that its session was told of nothing yet. Tests on the facade (answers too old are not given, lost answers bind, bulletins lower what waits) and on sockets with tokio-postgres (token out and in, by comment and by SET, 22023 for what cannot be used).

--- a/crates/lab/src/sessions.rs
+++ b/crates/lab/src/sessions.rs
@@ -14,7 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -271,13 +271,23 @@
     rng: Pcg64Mcg,
     idle: HashMap<usize, Connection>,
     tokens: Vec<String>,
+    /// Groups whose answers gave it a token.
+    told: BTreeSet<u64>,
     asked: u64,
 }
 
 impl Session {
     fn new(crowd: Rc<Crowd>, number: u32, seed: u64) -> Session {
         let rng = Pcg64Mcg::seed_from_u64(seed ^ (u64::from(number) + 1) << 20);
-        Session { crowd, number, rng, idle: HashMap::new(), tokens: Vec::new(), asked: 0 }
+        Session {
+            crowd,
+            number,
+            rng,
+            idle: HashMap::new(),
+            tokens: Vec::new(),
+            told: BTreeSet::new(),
+            asked: 0,
+        }
     }
 
     async fn live(mut self) {
@@ -309,7 +319,9 @@
         let (number, asked, group) = (self.number, self.asked, row % 2 + 2);
         let mut text = format!("id={number}x{asked},c={class},d={wait},cluster={group},session=s{number}");
         let held: Vec<&String> = held.iter().filter(|token| group_of(token) == Some(group)).collect();
-        if !held.is_empty() {
+        if held.is_empty() && self.crowd.tokens && !self.told.contains(&group) {
+            text += ",mark=new";
+        } else if !held.is_empty() {
             let joined: Vec<&str> = held.iter().map(|token| token.as_str()).collect();
             text += &format!(",mark={}", joined.join("+"));
         }
@@ -325,6 +337,7 @@
     fn replace(&mut self, held: &[String], token: Option<String>) {
         if let Some(token) = token.filter(|_| self.crowd.tokens) {
             self.tokens.retain(|known| !held.contains(known));
+            self.told.extend(group_of(&token));
             self.tokens.push(if self.crowd.unverified { forged(&token) } else { token });
         }
     }
--- a/crates/sessions/src/keeper.rs
+++ b/crates/sessions/src/keeper.rs
@@ -9,7 +9,7 @@
 use crate::settings::MOST_CLOCK_ERROR;
 use crate::settings::{Promise, Settings, SettingsError, Told};
 use crate::snapshot::Snapshot;
-use crate::token::{Token, TokenError};
+use crate::token::{Token, TokenError, FRESH};
 use petrelgauge_policy::{GroupId, Role, Time};
 use std::collections::BTreeMap;
 
@@ -179,10 +179,13 @@
     }
 
     /// Reads a client's token for this session. What cannot be used is an error, never a low floor.
-    pub fn take_token(&self, text: &str, key: Key) -> Result<Token, TokenError> {
+    pub fn take_token(&self, now: Time, text: &str, key: Key) -> Result<Token, TokenError> {
         if !self.set.tokens {
             return Err(TokenError::Off);
         }
+        if text == FRESH {
+            return Ok(Token::fresh(key, now));
+        }
         let token = Token::read(text, self.set.secret)?;
         token.fits(key).map(|()| token)
     }
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -41,7 +41,7 @@
 //! here.wrote(5_010_000, key, 5_000_000, Some(5_004_000));
 //! let token = here.token(5_010_000, key).expect("tokens are on");
 //! // The balance view reaches the other instance 2 ms later, and needs just that commit.
-//! let token = there.take_token(&token, key).expect("it is sound");
+//! let token = there.take_token(5_012_000, &token, key).expect("it is sound");
 //! let floor = there.ask(5_012_000, key, Some(&token));
 //! assert_eq!((floor.source, floor.need()), (Source::Token, 5_004_000));
 //! assert_eq!(there.judge(&floor, Some(5_003_000), None, None), Verdict::Behind);
@@ -70,4 +70,4 @@
 pub use settings::{Promise, Settings, SettingsError, Told, MOST_CLOCK_ERROR, MOST_EXACT, MOST_INSTANCES};
 pub use sketch::{false_share, Sketch, ROWS};
 pub use snapshot::Snapshot;
-pub use token::{Token, TokenError};
+pub use token::{Token, TokenError, FRESH};
--- a/crates/sessions/src/token.rs
+++ b/crates/sessions/src/token.rs
@@ -14,6 +14,9 @@
 /// Letters of a token.
 pub const LETTERS: usize = BYTES.div_ceil(3) * 4 - (3 - BYTES % 3) % 3;
 
+/// What a client brings in place of a token with the first request of a session.
+pub const FRESH: &str = "new";
+
 /// A token that was read. Times in microseconds, whole milliseconds on the wire: marks rounded up, the time of
 /// issue down, so that it says less rather than more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +53,11 @@
 }
 
 impl Token {
+    /// What a client says with [`FRESH`]: its session has been told of nothing yet.
+    pub fn fresh(key: Key, now: Time) -> Token {
+        Token { key, mark: Mark::NONE, issued: now }
+    }
+
     /// The token in letters that need no quoting in a statement's comment.
     pub fn write(&self, secret: u64) -> String {
         let mut bytes = Vec::with_capacity(BYTES);
--- a/crates/sessions/tests/common/mod.rs
+++ b/crates/sessions/tests/common/mod.rs
@@ -168,7 +168,8 @@
         let key = instance.keeper.key(G, &name.to_string());
         let known = truth.entry(name).or_default();
         let held = if play.tokens { tokens.get(&name).cloned().unwrap_or_default() } else { Vec::new() };
-        let taken = held.iter().map(|text| instance.keeper.take_token(text, key).expect("its own token"));
+        let taken =
+            held.iter().map(|text| instance.keeper.take_token(local, text, key).expect("its own token"));
         let token = taken.reduce(Token::join).map(|token| match play.plant {
             Plant::TokenUnverified => Token { mark: Mark::NONE, ..token },
             _ => token,
--- a/crates/sessions/tests/laws.rs
+++ b/crates/sessions/tests/laws.rs
@@ -162,20 +162,20 @@
     let (key, other) = (keeper.key(G, "one"), keeper.key(G, "two"));
     let write = |key, mark, issued| Token { key, mark, issued }.write(99);
     let none = write(key, Mark::NONE, now);
-    assert_eq!(keeper.take_token(&none, other).err(), Some(TokenError::Session));
-    assert_eq!(keeper.take_token(&none, Key { group: 3, ..key }).err(), Some(TokenError::Group));
-    assert_eq!(keeper.take_token("x", key).err(), Some(TokenError::Shape));
+    assert_eq!(keeper.take_token(now, &none, other).err(), Some(TokenError::Session));
+    assert_eq!(keeper.take_token(now, &none, Key { group: 3, ..key }).err(), Some(TokenError::Group));
+    assert_eq!(keeper.take_token(now, "x", key).err(), Some(TokenError::Shape));
     // Far ahead of the clock: held down to it, and never taken to be complete.
     let ahead = Mark { wrote: now + 1_000_000 * MS, read: 0 };
-    let ahead = keeper.take_token(&write(key, ahead, now + 10 * MS), key).expect("sound");
+    let ahead = keeper.take_token(now, &write(key, ahead, now + 10 * MS), key).expect("sound");
     let floor = keeper.ask(now, key, Some(&ahead));
     assert_eq!((floor.need(), floor.source), (now, Source::Open));
     assert_eq!(keeper.ask(now, other, None).need(), now, "no other session is asked for more than before");
     // Too old to stand for all that the session did since.
-    let old = keeper.take_token(&write(other, Mark::NONE, now - 31_000 * MS), other).expect("sound");
+    let old = keeper.take_token(now, &write(other, Mark::NONE, now - 31_000 * MS), other).expect("sound");
     assert_eq!(keeper.ask(now, other, Some(&old)).source, Source::Open);
     let off = Keeper::new(Settings { tokens: false, ..settings(0, 0) }, now).expect("sound");
-    assert_eq!(off.take_token(&none, key).err(), Some(TokenError::Off));
+    assert_eq!(off.take_token(now, &none, key).err(), Some(TokenError::Off));
     assert_eq!(off.token(now, key), None);
 }
 
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -178,13 +178,19 @@
     }
 
     /// The visit of a session, with what its client brought of it. An unusable token is an error.
-    pub fn visit(&self, group: GroupId, name: &str, tokens: &[&str]) -> Result<Option<Visit>, TokenError> {
+    pub fn visit(
+        &self,
+        at: Time,
+        group: GroupId,
+        name: &str,
+        tokens: &[&str],
+    ) -> Result<Option<Visit>, TokenError> {
         let state = self.0.state.borrow();
         let Some(keeper) = &state.keeper else { return Ok(None) };
         let key = keeper.key(group, name);
         let mut token: Option<Token> = None;
         for text in tokens {
-            let read = keeper.take_token(text, key)?;
+            let read = keeper.take_token(at, text, key)?;
             token = Some(token.map_or(read, |known| known.join(read)));
         }
         Ok(Some(Visit { key, token }))
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -522,7 +522,7 @@
 
     /// The session of a request, if its class carries sessions, with the tokens that its comment or its
     /// connection brought.
-    fn visit(&self, place: usize, statement: &Statement) -> Result<Option<Visit>, Flawed> {
+    fn visit(&self, place: usize, statement: &Statement, at: Time) -> Result<Option<Visit>, Flawed> {
         let facade = &self.front.facade;
         if !facade.carries(place) {
             return Ok(None);
@@ -533,7 +533,7 @@
         let set = self.marks.iter().map(String::as_str);
         let set = set.filter(|token| facade.group_of(token) == Ok(statement.cluster));
         let tokens: Vec<&str> = brought.chain(set).collect();
-        facade.visit(statement.cluster, name, &tokens).map_err(|cause| ("22023", cause.to_string()))
+        facade.visit(at, statement.cluster, name, &tokens).map_err(|cause| ("22023", cause.to_string()))
     }
 
     fn read_statement(&self, text: &Bytes, at: Time) -> Result<Taken, Flawed> {
@@ -556,7 +556,7 @@
         if !self.front.facade.may_serve(statement.cluster) {
             return unusable("22023", "no such cluster");
         }
-        let session = self.visit(place, &statement)?;
+        let session = self.visit(place, &statement, at)?;
         let Some(claim) = self.front.claim(&statement.id) else {
             return unusable("22023", "another open request has this id");
         };
--- /dev/null
+++ b/tests/sessions.rs
@@ -0,0 +1,285 @@
+//! Sessions through the facade and on sockets: what a client library sees of tokens, and that no answer is given
+//! which its session would find too old.
+
+#[path = "../crates/policy/tests/common/mod.rs"]
+mod common;
+mod stage;
+
+use common::{entry, settings, G, MS, START};
+use petrelgauge::facade::{Attempt, Decision, Facade, Outcome, Request, Ticket, Visit};
+use petrelgauge::operator::Operator;
+use petrelgauge::*;
+use petrelgauge_sessions::{Bulletin, Keeper, Mark, Token};
+use stage::{insert, kinds, select, Say, Stage};
+use std::future::Future;
+use std::pin::pin;
+use std::task::{Context, Poll, Waker};
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio_postgres::error::SqlState;
+use tokio_postgres::{NoTls, SimpleQueryMessage};
+
+const STEP: Time = 5 * MS;
+/// Places of a read of any data and of a keyed write.
+const READ: usize = 2;
+const WRITE: usize = 5;
+
+fn ready<T>(future: impl Future<Output = T>) -> Option<T> {
+    match pin!(future).poll(&mut Context::from_waker(Waker::noop())) {
+        Poll::Ready(value) => Some(value),
+        Poll::Pending => None,
+    }
+}
+
+struct Play {
+    facade: Facade,
+    now: Time,
+}
+
+impl Play {
+    fn new(sessions: petrelgauge_sessions::Settings) -> Play {
+        let keeper = Keeper::new(sessions, START).expect("sound settings");
+        let set = Settings { may_probe: false, hold: 30 * MS, ..settings() };
+        let facade =
+            Facade::with_sessions(set, 11, Some((keeper, vec![READ, WRITE]))).expect("sound settings");
+        facade.list(true, (1..=3).map(|member| entry(member, Standing::Up, member == 1, 0)).collect());
+        let mut play = Play { facade, now: START };
+        play.step();
+        play
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.facade.tick(self.now);
+    }
+
+    fn visit(&self, tokens: &[&str]) -> Visit {
+        self.facade.visit(self.now, G, "one", tokens).expect("sound tokens").expect("sessions are kept")
+    }
+
+    fn admit(&mut self, class: usize, tokens: &[&str]) -> Ticket {
+        let (at, until, session) = (self.now, self.now + 900 * MS, Some(self.visit(tokens)));
+        self.facade.admit(Request { class, group: G, until, repeat: false, at, after: None, session })
+    }
+
+    fn send(&mut self, ticket: &mut Ticket) -> Attempt {
+        for _ in 0..100 {
+            self.step();
+            match ready(ticket.pick()) {
+                Some(Decision::Send(attempt)) => return attempt,
+                Some(other) => panic!("no send but {other:?}"),
+                None => {}
+            }
+        }
+        panic!("nothing is decided");
+    }
+
+    fn served(&self, position: Time, role: Role) -> Outcome {
+        Outcome { position: Some(position), role: Some(role), ..Outcome::silent(Ending::Served) }
+    }
+
+    /// A write that is served with this commit; gives the session's token.
+    fn write(&mut self, commit: Time) -> String {
+        let mut ticket = self.admit(WRITE, &[]);
+        let attempt = self.send(&mut ticket);
+        assert!(attempt.report(self.now, self.served(commit, Role::Primary)));
+        self.facade.token(self.now, self.visit(&[]).key).expect("tokens are on")
+    }
+}
+
+#[test]
+fn an_answer_that_its_session_would_find_too_old_is_not_given() {
+    let mut play = Play::new(petrelgauge_sessions::Settings::default());
+    let commit = play.now + MS;
+    let token = play.write(commit);
+    for _ in 0..10 {
+        play.step();
+    }
+    let mut ticket = play.admit(READ, &[&token]);
+    let attempt = play.send(&mut ticket);
+    assert!(!attempt.report(play.now, play.served(commit - 1, Role::Replica)), "it lacks the write");
+    let attempt = play.send(&mut ticket);
+    assert!(attempt.report(play.now, play.served(commit, Role::Replica)), "it has it");
+    // Served from data 40 ms newer than the write, no later read may go back behind that.
+    let newer = play.now;
+    let mut ticket = play.admit(READ, &["new"]);
+    let attempt = play.send(&mut ticket);
+    assert!(attempt.report(play.now, play.served(newer, Role::Replica)));
+    let mut ticket = play.admit(READ, &["new"]);
+    let attempt = play.send(&mut ticket);
+    assert!(!attempt.report(play.now, play.served(newer - MS, Role::Replica)), "it would go back");
+    let (counts, _) = play.facade.session_counts().expect("sessions are kept");
+    assert_eq!((counts.behind, counts.by_token), (2, 3));
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_binds_the_reads_after_it() {
+    let mut play = Play::new(petrelgauge_sessions::Settings { roams: false, ..Default::default() });
+    for lose in [true, false] {
+        let mut ticket = play.admit(WRITE, &["new"]);
+        let attempt = play.send(&mut ticket);
+        // Its client leaves, or its time runs out: the attempt may have run until then.
+        let mut unsure = play.now;
+        if lose {
+            drop(ticket);
+        } else {
+            while ready(ticket.pick()).is_none() {
+                play.step();
+            }
+            unsure = play.now;
+        }
+        drop(attempt);
+        play.step();
+        let mut ticket = play.admit(READ, &["new"]);
+        let attempt = play.send(&mut ticket);
+        assert!(!attempt.report(play.now, play.served(unsure - MS, Role::Replica)));
+        drop(ticket);
+    }
+}
+
+#[test]
+fn bulletins_lower_what_a_waiting_read_needs() {
+    let set = petrelgauge_sessions::Settings { instances: 2, tokens: false, ..Default::default() };
+    let mut play = Play::new(set);
+    let told = |from: Time, until: Time| {
+        Bulletin {
+            instance: 1,
+            group: G,
+            epoch: START - 9_000 * MS,
+            from,
+            until,
+            base: 0,
+            lines: vec![(7, Mark { wrote: until, read: 0 })],
+        }
+        .write(0)
+    };
+    let (start, then) = (START - 9_000 * MS, START + 10 * MS);
+    play.facade.hear(play.now, &told(start, START)).expect("sound");
+    let mut ticket = play.admit(READ, &[]);
+    let arrived = play.now;
+    let attempt = play.send(&mut ticket);
+    assert!(
+        !attempt.report(play.now, play.served(arrived - MS, Role::Replica)),
+        "the other may have served a write"
+    );
+    // The other has told all that it made before the read came, and nothing of this session.
+    (0..10).for_each(|_| play.step());
+    assert!(arrived < then);
+    play.facade.hear(play.now, &told(START, then)).expect("sound");
+    let attempt = play.send(&mut ticket);
+    assert!(attempt.report(play.now, play.served(arrived - MS, Role::Replica)), "nothing stands against it");
+    let (counts, _) = play.facade.session_counts().expect("sessions are kept");
+    assert_eq!((counts.settled, counts.heard), (1, 2));
+    assert!(play.facade.hear(play.now, b"garbage").is_err());
+}
+
+const OPERATOR: &str = "sessions: {classes: [\"view\", \"post\"], secret: \"77\"}\n";
+
+fn ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+}
+
+#[test]
+fn a_client_library_is_told_the_token_and_hands_it_back() {
+    let stage = Stage::new(60);
+    let commit = ms();
+    let script =
+        vec![Say::RowAt(b"written", commit), Say::RowAt(b"one", commit + 1), Say::RowAt(b"two", commit + 2)];
+    let host = stage.host(script);
+    let gateway = stage.list(&[(&host, "up", "primary")]).operator(OPERATOR).start();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let address = gateway.address().to_string();
+        let (ip, port) = address.split_once(':').expect("an address");
+        let text = format!("host={ip} port={port} user=backend dbname=store");
+        let (client, mut connection) = tokio_postgres::connect(&text, NoTls).await.expect("it connects");
+        let mark = async |text: String| {
+            let mut asked = pin!(client.simple_query(&text));
+            let answer = std::future::poll_fn(|context| {
+                let _ = connection.poll_message(context);
+                asked.as_mut().poll(context)
+            });
+            (answer.await, connection.parameter("petrelgauge.mark").map(str::to_string))
+        };
+        let mut mark = mark;
+        let (written, token) = mark(insert("a", 5000)).await;
+        assert!(matches!(written.expect("a row")[..], [.., SimpleQueryMessage::CommandComplete(1)]));
+        let token = token.expect("a token is told");
+        let known = Token::read(&token, 0x77).expect("it is sound");
+        assert_eq!((known.key.group, known.mark.wrote), (2, commit as Time * 1000));
+        let with =
+            |mark: &str| select("a", "view", 5000).replace("cluster=2", &format!("cluster=2,mark={mark}"));
+        let (read, newer) = mark(with(&token)).await;
+        assert!(read.is_ok());
+        let newer = newer.expect("a token is told");
+        assert!(Token::read(&newer, 0x77).expect("it is sound").mark.read > known.mark.wrote);
+        let code = |answer: Result<Vec<SimpleQueryMessage>, tokio_postgres::Error>| {
+            answer.err().and_then(|cause| cause.code().cloned())
+        };
+        let other = Token { key: petrelgauge_sessions::Key { group: 3, ..known.key }, ..known }.write(0x77);
+        for bad in ["x", &token[1..], &other, &Token { ..known }.write(0x78)] {
+            assert_eq!(code(mark(with(bad)).await.0), Some(SqlState::INVALID_PARAMETER_VALUE), "{bad}");
+        }
+        // Set once for the connection, it goes with all that follow.
+        assert!(mark(format!("SET petrelgauge.mark = '{newer}'")).await.0.is_ok());
+        assert!(mark(select("a", "view", 5000)).await.0.is_ok());
+        assert_eq!(
+            code(mark("SET petrelgauge.mark TO 'x'".into()).await.0),
+            Some(SqlState::INVALID_PARAMETER_VALUE)
+        );
+        assert!(mark("RESET petrelgauge.mark".into()).await.0.is_ok());
+    });
+    assert_eq!(host.queries(), 3, "what cannot be used reaches no host");
+}
+
+// The one host that there is stays behind: refused in time, but never served from it.
+#[test]
+fn rather_no_answer_than_an_old_one() {
+    let stage = Stage::new(61);
+    let old = ms() - 60_000;
+    let host = stage.host((0..100).map(|_| Say::ReplicaAt(b"old", old)).collect());
+    let gateway = stage.list(&[(&host, "up", "standby")]).operator(OPERATOR).start();
+    let answer = gateway.client().ask(&select("a", "view", 1000));
+    assert_eq!(kinds(&answer), "EZ");
+    assert!(answer[0].1.windows(6).any(|code| code == b"C53300"));
+    assert!(host.queries() >= 1, "it was asked");
+    gateway.wait_for("behind=", |count| count >= 1);
+}
+
+#[test]
+fn without_an_operators_file_nothing_is_told_or_taken() {
+    let stage = Stage::new(62);
+    let host = stage.host(vec![Say::Row(b"one")]);
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let mut client = gateway.client();
+    assert_eq!(kinds(&client.ask(&select("a", "view", 5000))), "TDCZ", "no token is told");
+    assert_eq!(kinds(&client.ask("SET petrelgauge.mark = 'x'")), "CZ", "as any other setting");
+}
+
+#[test]
+fn an_operators_file_that_cannot_be_used_is_named_in_one_sentence() {
+    let cases = [
+        ("sessions: {", "1:12: a closing brace is expected here"),
+        ("sessions: {secret: \"1\"}", "classes names the classes"),
+        ("sessions: {classes: [\"view\"]}", "a secret is needed"),
+        ("sessions: {classes: [\"view\"], secret: \"x\"}", "hexadecimal"),
+        ("sessions: {classes: [\"view\"], secret: \"1\", sources: [\"disk\"]}", "not \"disk\""),
+        ("sessions: {classes: [\"view\"], secret: \"1\", cells: 3}", "power of two"),
+        ("sessions: {classes: [\"view\"], secret: \"1\", hold: 2s}", "held for 0 to 1 s"),
+        ("sessions: {classes: [\"view\"], secret: \"1\", pase: 2s}", "no field \"pase\""),
+        ("other: {}", "no field \"other\""),
+    ];
+    for (text, cause) in cases {
+        let said =
+            Operator::read("petrelgauge.cue", text).err().map(|cause| cause.to_string()).unwrap_or_default();
+        assert!(said.starts_with("petrelgauge.cue:1:") && said.contains(cause), "{text}: {said}");
+    }
+    for (number, (classes, cause)) in
+        [("\"view\"", "one class that writes"), ("\"view\", \"nope\"", "no class")].iter().enumerate()
+    {
+        let text = format!("sessions: {{classes: [{classes}], secret: \"1\"}}\n");
+        let stage = Stage::new(63 + number as u8).operator(&text);
+        let (code, log) = stage.start_with(&stage.config()).ended();
+        assert_eq!(code, Some(2), "{log}");
+        assert!(log.contains(cause) && log.trim().lines().count() == 1, "{log}");
+    }
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -1,5 +1,7 @@
 //! A stage for one gateway: the program itself, and the scripted peers it talks to.
 
+#![allow(dead_code)]
+
 use std::cell::{Cell, RefCell};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -75,6 +77,8 @@
     Row(&'static [u8]),
     /// A row at this position, in Unix milliseconds.
     RowAt(&'static [u8], u64),
+    /// The same from a replica.
+    ReplicaAt(&'static [u8], u64),
     /// A row, and these bytes right behind it.
     Surplus(&'static [u8], &'static [u8]),
     /// These bytes and no more.
@@ -153,9 +157,10 @@
         assert_eq!(kind, b'Q', "only simple queries");
         let _ = saw.send(String::from_utf8_lossy(&body[..body.len() - 1]).into_owned());
         let say = script.lock().expect("a script").next();
+        let role = if matches!(say, Some(Say::ReplicaAt(..))) { "standby" } else { "primary" };
         let answer = match say {
             Some(Say::Row(value)) => row(value),
-            Some(Say::RowAt(value, at)) => {
+            Some(Say::RowAt(value, at) | Say::ReplicaAt(value, at)) => {
                 [row(value), message(b'S', format!("log_position\0{at}\0").as_bytes())].concat()
             }
             Some(Say::Bytes(bytes)) => {
@@ -174,7 +179,7 @@
             Some(Say::Nothing) => continue,
             Some(Say::Close) | None => return,
         };
-        let told = message(b'S', b"replication_role\0primary\0");
+        let told = message(b'S', format!("replication_role\0{role}\0").as_bytes());
         if stream.write_all(&[answer, told, ready.clone()].concat()).is_err() {
             return;
         }
@@ -197,6 +202,7 @@
     news: Vec<String>,
     later: Vec<String>,
     sockets: usize,
+    operator: Option<String>,
 }
 
 impl Stage {
@@ -216,6 +222,7 @@
             news: Vec::new(),
             later: Vec::new(),
             sockets: 1024,
+            operator: None,
         }
     }
 
@@ -258,6 +265,12 @@
         self
     }
 
+    /// The operator's file.
+    pub fn operator(mut self, text: &str) -> Stage {
+        self.operator = Some(text.to_string());
+        self
+    }
+
     pub fn sockets(mut self, sockets: usize) -> Stage {
         self.sockets = sockets;
         self
@@ -279,7 +292,14 @@
     pub fn start_with(&self, config: &str) -> Gateway {
         let path = config_path(&self.listen);
         std::fs::write(&path, config).expect("a place to write");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_petrelgauge"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_petrelgauge"));
+        command.env_remove("PETRELGAUGE_FILE");
+        if let Some(text) = &self.operator {
+            let file = format!("{path}.cue");
+            std::fs::write(&file, text).expect("a place to write");
+            command.env("PETRELGAUGE_FILE", file);
+        }
+        let mut child = command
             .env("GW_CONFIG", path)
             .env("GW_DISCOVERY", self.discovery_address())
             .env_remove("RUST_LOG")
@@ -369,6 +389,11 @@
 }
 
 impl Gateway {
+    /// Where it listens.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
     pub fn raw_client(&self) -> Client {
         Client::connected(self.address.parse().expect("an address"))
     }
