--- a/crates/policy/src/router/pick.rs
+++ b/crates/policy/src/router/pick.rs
@@ -124,10 +124,10 @@
         let bound = self.work[1] / (self.work[0] + self.work[1]).max(1.0);
         let lent = self.chance() * (1.0 - bound) < 1.0 - bound * usable.len() as f64;
         let choice = self.pick(need, &usable, lent);
-        // A replica about to pass the floor is worth a short wait: the primary has work of its own.
-        let Some(mark) = held.filter(|_| choice == primary) else { return choice };
+        // A replica about to pass the floor is worth a short wait, unless the primary has time to lend.
+        let Some(mark) = held.filter(|_| choice == primary && !lent) else { return choice };
         let mut others = usable.into_iter().filter(|id| Some(*id) != primary);
-        let soon = others.any(|id| mark + self.draw_lag(id) < by);
+        let soon = others.any(|id| (self.now..by).contains(&(mark + self.draw_lag(id))));
         choice.filter(|_| !soon)
     }
 }
