--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -39,15 +39,8 @@
     pub short: bool,
     /// A fault that must make it fail.
     pub plant: Option<String>,
-    /// Another gateway to play with.
-    pub program: Option<PathBuf>,
-}
-
-impl Options {
-    /// The gateway's program.
-    pub fn program(&self) -> std::io::Result<PathBuf> {
-        self.program.clone().map_or_else(stage::program, Ok)
-    }
+    /// An earlier build of the gateway, played in the same run.
+    pub baseline: Option<PathBuf>,
 }
 
 /// An experiment.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -35,9 +35,9 @@
         /// Plant a fault that must make the experiment fail
         #[arg(long)]
         plant: Option<String>,
-        /// Play another build of the gateway
+        /// An earlier build of the gateway, played in the same run
         #[arg(long)]
-        program: Option<PathBuf>,
+        baseline: Option<PathBuf>,
     },
     /// Starts hosts, register and gateways, and stays until interrupted
     Up {
@@ -75,7 +75,7 @@
             EXPERIMENTS.iter().for_each(|one| println!("{:16} {}", one.name, one.shows));
             Ok(true)
         }
-        Command::Run { name, seed, short, json, report, plant, program } => {
+        Command::Run { name, seed, short, json, report, plant, baseline } => {
             let known = EXPERIMENTS.iter().find(|one| one.name == name);
             let one =
                 known.ok_or_else(|| std::io::Error::other(format!("there is no experiment {name:?}")))?;
@@ -83,7 +83,7 @@
                 let known = one.plants.join(", ");
                 return Err(std::io::Error::other(format!("{name} has no fault {fault:?}, but {known}")));
             }
-            let verdict = (one.run)(&Options { seed, short, plant, program })?;
+            let verdict = (one.run)(&Options { seed, short, plant, baseline })?;
             println!("{}", verdict.json());
             json.map_or(Ok(()), |path| std::fs::write(path, verdict.json() + "\n"))?;
             report.map_or(Ok(()), |folder| verdict.write(&folder))?;
--- a/crates/lab/src/sessions.rs
+++ b/crates/lab/src/sessions.rs
@@ -62,6 +62,10 @@
     },
 ];
 
+/// An earlier build, which may not know of sessions.
+const EARLIER: Arm =
+    Arm { name: "earlier build", sessions: "", strong: false, tokens: false, guarded: false };
+
 fn operator(arm: &Arm, error_ms: u64) -> String {
     if arm.sessions.is_empty() {
         return String::new();
@@ -99,13 +103,18 @@
 }
 
 async fn all(options: &Options) -> std::io::Result<Verdict> {
-    let program = options.program()?;
+    let program = crate::stage::program()?;
     let mut shown = Vec::new();
     for arm in &ARMS {
         let one = play(arm, options, program.clone()).await?;
         eprintln!("{:16} {:?}", arm.name, one.found);
         shown.push((arm, one));
     }
+    if let Some(earlier) = &options.baseline {
+        let one = play(&EARLIER, options, earlier.clone()).await?;
+        eprintln!("{:16} {:?}", EARLIER.name, one.found);
+        shown.push((&EARLIER, one));
+    }
     Ok(judge(options, &shown))
 }
 
