Move the desk of requests and attempts into a crate of state machines

Need: the races of time-out, late answer, drain and restart can only be explored on code without I/O, and the life of requests and attempts was spread over the facade's channels and drops.

A second report of an attempt is ignored. Switches for planted bugs are constant false without the feature 'mutants'.

--- /dev/null
+++ b/crates/lifecycle/src/desk.rs
@@ -0,0 +1,440 @@
+//! The desk: requests come in, decisions go out, attempts are reported, and each request ends once.
+//!
+//! It stands between the decision module, which is stepped with batches of events, and whoever serves connections.
+//! What comes in is kept in order and handed over in batches, at most one per granularity.
+//!
+//! A request is **open** until it has its one end: served or unusable (by a report), refused or failed (by the
+//! module), or withdrawn (its client left). An attempt is **out** from its order until its report, also when its
+//! request has ended. A report tells whether its answer is owed to the client: only while the request is open, and
+//! never if the session of the request would find it too old.
+
+use petrelgauge_policy::*;
+use petrelgauge_sessions::{BulletinError, Counts, Floor, Keeper, Key, Snapshot, Token, TokenError, Verdict};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A request, in no protocol's words.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Place of its class in the settings.
+    pub class: usize,
+    /// Its group.
+    pub group: GroupId,
+    /// Clock time at which the client gives it up.
+    pub until: Time,
+    /// The client marked it as a repeat.
+    pub repeat: bool,
+    /// Clock time at which it came.
+    pub at: Time,
+    /// Commit that its client says its data must hold.
+    pub after: Option<Time>,
+    /// Its session, if its class carries sessions.
+    pub session: Option<Visit>,
+}
+
+/// A session's request.
+#[derive(Clone, Debug)]
+pub struct Visit {
+    /// The session in the request's group.
+    pub key: Key,
+    /// The token that the client brought.
+    pub token: Option<Token>,
+}
+
+/// How an attempt ended and what the member said with it.
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    /// How it ended.
+    pub ending: Ending,
+    /// Clock time up to which the member has applied all commits; for a served write its commit.
+    pub position: Option<Time>,
+    /// The member's role.
+    pub role: Option<Role>,
+    /// The member's load report.
+    pub report: Report,
+    /// The member says that the request itself cannot be used: that is its answer, and no other is asked.
+    pub unusable: bool,
+}
+
+impl Outcome {
+    /// An ending with which nobody said anything.
+    pub fn silent(ending: Ending) -> Outcome {
+        Outcome { ending, position: None, role: None, report: Report::default(), unusable: false }
+    }
+}
+
+/// What is to be done, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Make this attempt.
+    Send(Send),
+    /// The request has its end: refused, harmless to try again, after `wait` if that is not 0.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// How long the client should stay away.
+        wait: Time,
+    },
+    /// The request has its end: failed, nothing promised.
+    Fail {
+        /// The request.
+        request: RequestId,
+    },
+    /// Give up an attempt before its time: close its connection, then report it.
+    CallOff {
+        /// The request.
+        request: RequestId,
+        /// Number of the attempt.
+        attempt: u32,
+    },
+    /// A line for the staff.
+    Note(String),
+}
+
+/// An attempt to make. It must be reported once.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Send {
+    /// Its request.
+    pub request: RequestId,
+    /// Its number, from 0.
+    pub attempt: u32,
+    /// The member to send to.
+    pub host: MemberId,
+    /// Clock time at which to give it up.
+    pub until: Time,
+    /// When it was ordered.
+    pub at: Time,
+}
+
+/// All requests and attempts of a gateway. Bounded by what clients may hold open; an attempt stays until its report.
+#[derive(Clone, Debug)]
+pub struct Desk {
+    router: Router,
+    granularity: Time,
+    stepped_at: Time,
+    timer_at: Option<(Time, u64)>,
+    /// What came in since the last step, in order. A request's `time_left` is its end here, as a clock time;
+    /// an outcome's `took` is the span when it came in.
+    queue: Vec<Event>,
+    next: u64,
+    open: BTreeMap<RequestId, Open>,
+    out: BTreeSet<(RequestId, u32)>,
+    groups: BTreeSet<GroupId>,
+    /// Classes, by place, that carry sessions and that write.
+    carrying: Vec<bool>,
+    writes: Vec<bool>,
+    keeper: Option<Keeper>,
+    /// Sessions whose writes were given up by their clients since the last look at the clock.
+    unsure: Vec<Key>,
+    /// Highest position that each listed member told.
+    told: BTreeMap<MemberId, Time>,
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    attempts: u32,
+    watch: Option<Watch>,
+}
+
+/// What is owed to the session of an open request.
+#[derive(Clone, Debug)]
+struct Watch {
+    key: Key,
+    arrived: Time,
+    /// What a read must prove; none for a write.
+    floor: Option<Floor>,
+    /// What the member had told when the last attempt went out.
+    before: Option<Time>,
+}
+
+impl Desk {
+    /// A desk for these settings that keeps sessions for the classes of these places, if any. The seed is its only
+    /// source of chance.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        sessions: Option<(Keeper, Vec<usize>)>,
+    ) -> Result<Desk, SettingsError> {
+        let (keeper, places) = sessions.unzip();
+        let places = places.unwrap_or_default();
+        Ok(Desk {
+            granularity: settings.granularity,
+            carrying: (0..settings.classes.len()).map(|place| places.contains(&place)).collect(),
+            writes: settings.classes.iter().map(|class| class.need == Need::Write).collect(),
+            router: Router::new(settings, seed)?,
+            stepped_at: Time::MIN / 2,
+            timer_at: None,
+            queue: Vec::new(),
+            next: 0,
+            open: BTreeMap::new(),
+            out: BTreeSet::new(),
+            groups: BTreeSet::new(),
+            keeper,
+            unsure: Vec::new(),
+            told: BTreeMap::new(),
+        })
+    }
+
+    /// Requests without an end, and attempts without a report.
+    pub fn held(&self) -> (usize, usize) {
+        (self.open.len(), self.out.len())
+    }
+
+    /// Whether the class of this place carries sessions.
+    pub fn carries(&self, class: usize) -> bool {
+        self.carrying.get(class).copied().unwrap_or(false)
+    }
+
+    /// Whether sessions are kept at all.
+    pub fn keeps_sessions(&self) -> bool {
+        self.carrying.contains(&true)
+    }
+
+    /// The group that a token is for, if it can be used here.
+    pub fn group_of(&self, token: &str) -> Result<GroupId, TokenError> {
+        let keeper = self.keeper.as_ref().filter(|keeper| keeper.settings().tokens).ok_or(TokenError::Off)?;
+        Token::read(token, keeper.settings().secret).map(|token| token.key.group)
+    }
+
+    /// The visit of a session, with what its client brought of it. An unusable token is an error.
+    pub fn visit(
+        &self,
+        at: Time,
+        group: GroupId,
+        name: &str,
+        tokens: &[&str],
+    ) -> Result<Option<Visit>, TokenError> {
+        let Some(keeper) = &self.keeper else { return Ok(None) };
+        let key = keeper.key(group, name);
+        let mut token: Option<Token> = None;
+        for text in tokens {
+            let read = keeper.take_token(at, text, key)?;
+            token = Some(token.map_or(read, |known| known.join(read)));
+        }
+        Ok(Some(Visit { key, token }))
+    }
+
+    /// The token that goes with an answer to this session, where clients carry tokens.
+    pub fn token(&self, now: Time, key: Key) -> Option<String> {
+        self.keeper.as_ref()?.token(now, key)
+    }
+
+    /// Counts of the sessions and gaps in what others told, if they are kept.
+    pub fn session_counts(&self) -> Option<(Counts, u64)> {
+        self.keeper.as_ref().map(|keeper| (keeper.counts(), keeper.holes()))
+    }
+
+    /// The marks of this moment, if sessions are kept.
+    pub fn snapshot(&self, now: Time, clean: bool) -> Option<Snapshot> {
+        self.keeper.as_ref().map(|keeper| keeper.snapshot(now, clean))
+    }
+
+    /// A datagram of another instance came. Reads that wait may need less now.
+    pub fn hear(&mut self, now: Time, bytes: &[u8]) -> Result<(), BulletinError> {
+        let Desk { keeper, open, queue, .. } = self;
+        let Some(keeper) = keeper else { return Ok(()) };
+        keeper.receive(now, bytes)?;
+        for (request, open) in open.iter_mut() {
+            let Some(Watch { key, floor: Some(floor), .. }) = &mut open.watch else { continue };
+            if let Some(less) = keeper.settle(now, *key, floor) {
+                *floor = less;
+                queue.push(Event::Floor { request: request.clone(), floor: less.need() });
+            }
+        }
+        Ok(())
+    }
+
+    /// Datagrams for every other instance that are due now, and when to call again.
+    pub fn tell(&mut self, now: Time) -> (Vec<Vec<u8>>, Option<Time>) {
+        let Some(keeper) = &mut self.keeper else { return (Vec::new(), None) };
+        (keeper.tell(now), keeper.due())
+    }
+
+    /// Takes a request in: it is open from now on, under a name of its own. What clients call their requests may
+    /// come twice.
+    pub fn admit(&mut self, request: Request) -> RequestId {
+        let id: RequestId = self.next.to_string().into();
+        self.next += 1;
+        self.look(request.at);
+        let write = self.writes.get(request.class).copied().unwrap_or(false);
+        let watch = match (&mut self.keeper, request.session) {
+            (Some(keeper), Some(Visit { key, token })) => {
+                let floor = (!write).then(|| keeper.ask(request.at, key, token.as_ref()));
+                if let (true, Some(token)) = (write, &token) {
+                    keeper.bring(request.at, key, token);
+                }
+                Some(Watch { key, arrived: request.at, floor, before: None })
+            }
+            _ => None,
+        };
+        let needed = watch.as_ref().and_then(|watch| watch.floor).map(|floor| floor.need());
+        self.open.insert(id.clone(), Open { attempts: 0, watch });
+        self.queue.push(Event::Request {
+            request: id.clone(),
+            class: request.class,
+            group: request.group,
+            time_left: request.until,
+            repeat: request.repeat,
+            floor: needed.max(request.after),
+        });
+        id
+    }
+
+    /// News of the list: whole, or only what changed.
+    pub fn list(&mut self, whole: bool, entries: Vec<Entry>) {
+        if whole {
+            self.groups.clear();
+        }
+        self.groups.extend(entries.iter().map(|entry| entry.group));
+        let gone = |entry: &&Entry| entry.standing == Standing::Gone;
+        let left: Vec<MemberId> = entries.iter().filter(gone).map(|entry| entry.member).collect();
+        let named: BTreeSet<MemberId> = entries.iter().map(|entry| entry.member).collect();
+        self.told.retain(|id, _| !left.contains(id) && (!whole || named.contains(id)));
+        self.queue.push(Event::List { whole, entries: entries.into() });
+    }
+
+    /// Whether the list may hold this group: it named it since it was last whole, or has named none so far.
+    pub fn may_serve(&self, group: GroupId) -> bool {
+        self.groups.is_empty() || self.groups.contains(&group)
+    }
+
+    /// Steps the module if it is time; gives what is to be done and when to call again at the latest.
+    pub fn tick(&mut self, now: Time) -> (Vec<Order>, Option<Time>) {
+        let earliest = self.stepped_at.saturating_add(self.granularity);
+        let timer = self.timer_at.filter(|(at, _)| *at <= now);
+        if now < earliest || (self.queue.is_empty() && timer.is_none()) {
+            let due = if self.queue.is_empty() { self.timer_at.map(|(at, _)| at) } else { Some(earliest) };
+            return (Vec::new(), due.map(|at| at.max(earliest)));
+        }
+        self.stepped_at = now;
+        self.look(now);
+        let mut events = std::mem::take(&mut self.queue);
+        for event in &mut events {
+            if let Event::Request { time_left, .. } = event {
+                *time_left -= now;
+            }
+        }
+        if let Some((_, token)) = timer {
+            self.timer_at = None;
+            events.push(Event::Timer { token });
+        }
+        let mut actions = Vec::new();
+        self.router.step(now, &events, &mut actions);
+        let orders = actions.into_iter().filter_map(|action| self.order(now, action)).collect();
+        (orders, self.timer_at.map(|(at, _)| at.max(now + self.granularity)))
+    }
+
+    fn order(&mut self, now: Time, action: Action) -> Option<Order> {
+        match action {
+            Action::Send { request, member, until } => {
+                let open = self.open.get_mut(&request)?;
+                let attempt = open.attempts;
+                open.attempts += 1;
+                if let Some(watch) = &mut open.watch {
+                    watch.before = self.told.get(&member).copied();
+                }
+                self.out.insert((request.clone(), attempt));
+                Some(Order::Send(Send { request, attempt, host: member, until, at: now }))
+            }
+            Action::Refuse { request, wait } => {
+                self.end(now, &request)?;
+                Some(Order::Refuse { request, wait })
+            }
+            Action::Fail { request } => {
+                self.end(now, &request)?;
+                Some(Order::Fail { request })
+            }
+            Action::CallOff { request, attempt } => {
+                let out = self.out.contains(&(request.clone(), attempt));
+                out.then_some(Order::CallOff { request, attempt })
+            }
+            Action::Timer { token, at } => {
+                self.timer_at = Some((at, token));
+                None
+            }
+            Action::Note { text } => Some(Order::Note(text)),
+            // The gateway's settings forbid probes, and it watches the list all the time unasked.
+            Action::Probe { .. } | Action::WatchList | Action::ReadList => None,
+        }
+    }
+
+    /// The client no longer waits. Whether the request was still open.
+    pub fn withdraw(&mut self, request: &RequestId) -> bool {
+        let Some(open) = self.open.remove(request) else { return false };
+        if let Open { attempts: 1.., watch: Some(Watch { key, floor: None, .. }) } = open {
+            self.unsure.push(key);
+        }
+        self.queue.push(Event::Withdrawn { request: request.clone() });
+        true
+    }
+
+    /// An attempt ended: its connection rests or is closed. True if the member answered and the request is still
+    /// open: then what the member said is the request's final answer, and is owed to the client.
+    pub fn report(&mut self, now: Time, send: &Send, mut outcome: Outcome) -> bool {
+        if !self.out.remove(&(send.request.clone(), send.attempt)) {
+            // Reported already. A second word would count the attempt out twice.
+            return false;
+        }
+        if outcome.ending == Ending::Served && !self.served(now, &send.request, &outcome) {
+            // Its data were too old: as if the member had turned the read away by itself.
+            outcome.ending = Ending::TurnedAway;
+        }
+        if let (Some(position), Some(Role::Replica), true) =
+            (outcome.position, outcome.role, self.keeper.is_some())
+        {
+            let told = self.told.entry(send.host).or_default();
+            *told = position.max(*told);
+        }
+        let answered = outcome.ending == Ending::Served || outcome.unusable;
+        // Closed here and not by the next step: no refusal may overtake an answer.
+        let owed = answered
+            && match mutant(Mutant::RefusalOvertakes) {
+                true => self.open.contains_key(&send.request),
+                false => self.open.remove(&send.request).is_some(),
+            };
+        self.queue.push(Event::Outcome {
+            request: send.request.clone(),
+            attempt: send.attempt,
+            member: send.host,
+            ending: outcome.ending,
+            took: (now - send.at).max(0),
+            closed: answered || !self.open.contains_key(&send.request),
+            position: outcome.position,
+            role: outcome.role,
+            report: outcome.report,
+        });
+        owed
+    }
+
+    /// Learns the time: what was given up before it, and may have run, was committed before it.
+    fn look(&mut self, now: Time) {
+        let Some(keeper) = &mut self.keeper else { return };
+        self.unsure.drain(..).for_each(|key| keeper.unsure(now, key));
+    }
+
+    /// A request ends without having been served.
+    fn end(&mut self, now: Time, request: &RequestId) -> Option<Open> {
+        let open = self.open.remove(request)?;
+        if let (Some(keeper), Some(Watch { key, floor: None, .. })) = (&mut self.keeper, &open.watch) {
+            if open.attempts > 0 {
+                keeper.unsure(now, *key);
+            }
+        }
+        Some(open)
+    }
+
+    /// A member served an open request. Whether that is the answer: for a session's read it must prove its floor.
+    fn served(&mut self, now: Time, request: &RequestId, outcome: &Outcome) -> bool {
+        let Some(keeper) = &mut self.keeper else { return true };
+        let watch = self.open.get(request).and_then(|open| open.watch.as_ref());
+        let Some(Watch { key, arrived, floor, before }) = watch else { return true };
+        let Some(floor) = floor else {
+            keeper.wrote(now, *key, *arrived, outcome.position);
+            return true;
+        };
+        if keeper.judge(floor, outcome.position, *before, outcome.role) == Verdict::Behind {
+            return false;
+        }
+        keeper.read(now, *key, floor, outcome.position.unwrap_or(0));
+        true
+    }
+}
--- a/src/net/ending.rs
+++ b/crates/lifecycle/src/ending.rs
@@ -1,9 +1,9 @@
 //! Every way in which a connection, or an attempt on one, can end.
 
-use crate::Ending;
+use petrelgauge_policy::Ending;
 
 /// How it ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum End {
     /// A database host served the request.
     Served,
--- /dev/null
+++ b/crates/lifecycle/src/exchange.rs
@@ -0,0 +1,202 @@
+//! The life of one attempt, from its order to its report.
+//!
+//! ```text
+//!            Connected          Greeted           Written            Began
+//! Connecting ---------> Greeting -------> Writing -------> Waiting ---------> Answering
+//!     |                    |                 |                |                   |
+//!     +--------------------+-----------------+----------------+-------------------+--> Ended(end)
+//! ```
+//!
+//! A reused connection begins in Writing. Whatever the state, an attempt ends once, by [`Exchange::on`], and its
+//! connection is put away (rested or closed) before the end may be told: [`Exchange::put_away`] says how, and only
+//! what it gives has the end. A second copy could else go out beside a connection that still carries the first.
+
+use crate::ending::End;
+use petrelgauge_policy::{mutant, Mutant, Time};
+
+/// Span in which an answer that has begun must be whole (microseconds): hosts write it in one go. One that claims to
+/// go on and does not would else keep its request until its time is over.
+pub const ANSWER: Time = 300_000;
+
+/// Where an attempt stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Stage {
+    /// A connection is coming up; it must within the time given.
+    Connecting {
+        /// Clock time.
+        by: Time,
+    },
+    /// It is up, and the host has not said that it is ready.
+    Greeting {
+        /// Clock time.
+        by: Time,
+    },
+    /// The request is being written.
+    Writing,
+    /// It was written whole. From here on it may have run.
+    Waiting,
+    /// The answer has begun.
+    Answering {
+        /// Clock time by which it must be whole.
+        by: Time,
+    },
+    /// Over.
+    Ended(End),
+}
+
+/// What happens to an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// The connection is up.
+    Connected,
+    /// The host refused it.
+    Refused,
+    /// There was no descriptor for it, or no address.
+    NotTried(End),
+    /// The host is ready for a request.
+    Greeted,
+    /// The host turned the connection away with an error of its own.
+    TurnedAway(End),
+    /// The last byte of the request was written.
+    Written,
+    /// The first bytes of an answer came.
+    Began,
+    /// The answer is whole, and judged so. `copy`: it is the last one again.
+    Answered {
+        /// What it says of the attempt.
+        end: End,
+        /// It is alike to the last answer of the connection to the last bit.
+        copy: bool,
+    },
+    /// The host's bytes make no sense.
+    Malformed,
+    /// The connection broke or ended.
+    Broke,
+    /// There is no room for more of the answer.
+    NoMemory,
+    /// The decisions want it given up.
+    CalledOff,
+    /// The time that [`Exchange::due`] named has come.
+    Due,
+}
+
+/// What becomes of the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Away {
+    /// It may carry another request.
+    Rest,
+    /// It is closed.
+    Close,
+}
+
+/// An attempt under way.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Exchange {
+    stage: Stage,
+    /// Clock time at which it is given up.
+    until: Time,
+    /// The host said that it is ready for another request.
+    ready: bool,
+}
+
+/// An attempt whose connection has been put away: now it may be told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// How it ended.
+    pub end: End,
+}
+
+impl Exchange {
+    /// On a connection that rested; else on a new one, which must be up by `up_by`.
+    pub fn new(reused: bool, up_by: Time, until: Time) -> Exchange {
+        let stage = if reused { Stage::Writing } else { Stage::Connecting { by: up_by.min(until) } };
+        Exchange { stage, until, ready: false }
+    }
+
+    /// Where it stands.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// How it ended, once it has.
+    pub fn ended(&self) -> Option<End> {
+        match self.stage {
+            Stage::Ended(end) => Some(end),
+            _ => None,
+        }
+    }
+
+    /// Whether its request has been written whole, and so may have run.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self.stage, Stage::Waiting | Stage::Answering { .. })
+    }
+
+    /// Clock time at which [`Event::Due`] is to be told.
+    pub fn due(&self) -> Time {
+        match self.stage {
+            Stage::Connecting { by } | Stage::Greeting { by } | Stage::Answering { by } => by.min(self.until),
+            Stage::Writing | Stage::Waiting | Stage::Ended(_) => self.until,
+        }
+    }
+
+    /// Something happened. What does not fit the stage changes nothing: a connection that is being put away may
+    /// still say something.
+    pub fn on(&mut self, now: Time, event: Event) {
+        self.stage = self.next(now, event);
+    }
+
+    fn next(&self, now: Time, event: Event) -> Stage {
+        use Stage::*;
+        match (self.stage, event) {
+            (Ended(end), _) => Ended(end),
+            // It was called off; whether it ran is not known.
+            (_, Event::CalledOff) => Ended(End::CalledOff),
+            (_, Event::NotTried(end)) => Ended(end),
+
+            (Connecting { by }, Event::Connected) => Greeting { by },
+            (Connecting { .. }, Event::Refused) => Ended(End::ConnectRefused),
+            (Greeting { .. }, Event::Greeted) if now >= self.until => Ended(End::TooLate),
+            (Greeting { .. }, Event::Greeted) => Writing,
+            (Greeting { .. }, Event::TurnedAway(end)) => Ended(end),
+            (Greeting { .. }, Event::Broke | Event::Malformed) => Ended(End::BrokenUnsent),
+            (Greeting { .. }, Event::NoMemory) => Ended(End::NoDescriptor),
+            (Connecting { by } | Greeting { by }, Event::Due) if now >= by => Ended(End::ConnectSilent),
+
+            (Writing, Event::Written) => Waiting,
+            (Writing, Event::Broke) => Ended(End::BrokenUnsent),
+            // Not written whole: it never ran.
+            (Writing, Event::Due) if now >= self.until => Ended(End::ConnectSilent),
+
+            (Waiting, Event::Began) => Answering { by: now + ANSWER },
+            (Waiting | Answering { .. }, Event::Answered { copy: true, .. }) => {
+                // Whose answer this is nobody knows, and whether the request has run neither.
+                Ended(if mutant(Mutant::CopyTaken) { End::Served } else { End::HostRepeated })
+            }
+            (Waiting | Answering { .. }, Event::Answered { end, .. }) => Ended(end),
+            (Waiting | Answering { .. }, Event::Malformed) => Ended(End::HostMalformed),
+            (Waiting | Answering { .. }, Event::Broke) => {
+                Ended(if mutant(Mutant::ResetUnproved) { End::BrokenUnsent } else { End::BrokenSent })
+            }
+            (Waiting | Answering { .. }, Event::NoMemory) => Ended(End::NoMemory),
+            (Waiting | Answering { .. }, Event::Due) if now >= self.until => Ended(End::NoAnswer),
+            (Answering { by }, Event::Due) if now >= by => Ended(End::HostStalled),
+            (Waiting, Event::Due) if mutant(Mutant::EarlyStall) => Ended(End::ConnectSilent),
+            (stage, _) => stage,
+        }
+    }
+
+    /// The host said, with its answer, that it is ready for another request.
+    pub fn host_is_ready(&mut self) {
+        self.ready = true;
+    }
+
+    /// What becomes of the connection, once the attempt has ended: it rests only if the host gave a whole answer of
+    /// its own and is ready for more. `unread`: bytes of it lie there that belong to no answer.
+    pub fn put_away(self, unread: bool) -> Option<(Away, Told)> {
+        let end = self.ended()?;
+        let whole = matches!(end, End::Served | End::HostError | End::TurnedAway | End::Full | End::Unusable);
+        let clean = !unread || mutant(Mutant::UnreadRests);
+        let away = if whole && self.ready && clean { Away::Rest } else { Away::Close };
+        Some((away, Told { end }))
+    }
+}
--- /dev/null
+++ b/crates/lifecycle/src/lib.rs
@@ -0,0 +1,37 @@
+//! The life of requests, attempts and connections, as state machines that are told what happens and the time. They do
+//! no I/O and have no clock; the network code reads, writes, closes and waits as they say, and decides nothing.
+//!
+//! | file | whose life | states |
+//! | --- | --- | --- |
+//! | `desk.rs` | requests and attempts before the decision module | open, ended; out, reported |
+//! | `asked.rs` | a client's request at the front | waiting, out, ended |
+//! | `exchange.rs` | an attempt on a connection | connecting, greeting, writing, waiting, answering, ended |
+//! | `rest.rs` | a connection between requests | resting, in use, ended |
+//! | `ending.rs` | every way in which a connection or an attempt can end | |
+//!
+//! **Promises**, each checked by the exhaustive models of `petrelgauge-models`: an attempt is reported once, after its
+//! connection has been put away; a request has one end; a refusal never overtakes an answer; a connection with unread
+//! bytes is not used again; a request that may have run is never told as one that did not.
+//!
+//! **Bounds.** The desk holds what clients may hold open and an entry for each attempt until its report. The other
+//! machines are of fixed size.
+//!
+//! ```
+//! use petrelgauge_lifecycle::exchange::{Away, Event, Exchange};
+//! use petrelgauge_lifecycle::ending::End;
+//!
+//! // On a connection that rested: written, and then the host goes silent.
+//! let mut attempt = Exchange::new(true, 0, 500_000);
+//! attempt.on(1_000, Event::Written);
+//! assert!(attempt.may_have_run());
+//! attempt.on(500_000, Event::Due);
+//! // First the connection is closed; only that gives the end to tell.
+//! let (away, told) = attempt.put_away(false).expect("it has ended");
+//! assert_eq!((away, told.end), (Away::Close, End::NoAnswer));
+//! ```
+
+pub mod asked;
+pub mod desk;
+pub mod ending;
+pub mod exchange;
+pub mod rest;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -59,8 +59,12 @@
 //! ```
 
 mod interface;
+mod mutant;
 mod router;
 mod state;
 
 pub use interface::*;
+#[cfg(feature = "mutants")]
+pub use mutant::plant;
+pub use mutant::{mutant, Mutant};
 pub use router::Router;
--- /dev/null
+++ b/crates/policy/src/mutant.rs
@@ -0,0 +1,100 @@
+//! Bugs that somebody could really write, planted for the models to find. Without the feature `mutants`, which no
+//! release build has, every switch is a constant false and leaves no code behind.
+
+/// A planted bug.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Mutant {
+    /// The decisions send on to a member that the list calls draining.
+    DrainIgnored,
+    /// A write is repeated after its key's window.
+    WindowIgnored,
+    /// A write that may have run is repeated though its class allows none.
+    UnsafeRepeated,
+    /// A connection that broke after the request is taken for one that never carried it.
+    ResetUnproved,
+    /// A second attempt goes out beside the first.
+    SecondCopy,
+    /// A request that nobody waits for any more is sent.
+    SentAfterEnd,
+    /// What may have run is refused as harmless.
+    RefusedAsHarmless,
+    /// An answer leaves its request open, and a refusal follows.
+    RefusalOvertakes,
+    /// An attempt is told before its connection is closed.
+    ToldBeforeClosed,
+    /// An attempt that is called off is not told.
+    LostReport,
+    /// The limit for an answer that has begun ends one that has not.
+    EarlyStall,
+    /// A connection with unread bytes goes back to rest.
+    UnreadRests,
+    /// A connection whose host spoke unasked is used again.
+    SurplusReused,
+    /// The copy of the last answer is taken for this one.
+    CopyTaken,
+    /// A connection older than hosts keep is used.
+    OldReused,
+    /// A merge of marks takes the newer one, not the higher.
+    MergeLowers,
+    /// A restart forgets that marks were lost.
+    LossForgotten,
+    /// A gap in bulletins is passed over.
+    GapPassed,
+    /// An answer behind its session's mark is given.
+    BehindGiven,
+    /// A client is closed while its answer is owed.
+    ClosedWhileOwed,
+    /// After SIGTERM what waits in the kernel is not accepted.
+    AcceptsNoMore,
+}
+
+impl Mutant {
+    /// All of them.
+    pub const ALL: [Mutant; 21] = [
+        Mutant::DrainIgnored,
+        Mutant::WindowIgnored,
+        Mutant::UnsafeRepeated,
+        Mutant::ResetUnproved,
+        Mutant::SecondCopy,
+        Mutant::SentAfterEnd,
+        Mutant::RefusedAsHarmless,
+        Mutant::RefusalOvertakes,
+        Mutant::ToldBeforeClosed,
+        Mutant::LostReport,
+        Mutant::EarlyStall,
+        Mutant::UnreadRests,
+        Mutant::SurplusReused,
+        Mutant::CopyTaken,
+        Mutant::OldReused,
+        Mutant::MergeLowers,
+        Mutant::LossForgotten,
+        Mutant::GapPassed,
+        Mutant::BehindGiven,
+        Mutant::ClosedWhileOwed,
+        Mutant::AcceptsNoMore,
+    ];
+}
+
+#[cfg(feature = "mutants")]
+std::thread_local! {
+    static ACTIVE: std::cell::Cell<Option<Mutant>> = const { std::cell::Cell::new(None) };
+}
+
+/// Whether this bug is in the code that runs on this thread.
+#[cfg(feature = "mutants")]
+pub fn mutant(bug: Mutant) -> bool {
+    ACTIVE.with(|active| active.get() == Some(bug))
+}
+
+/// Whether this bug is in the code: it never is.
+#[cfg(not(feature = "mutants"))]
+#[inline(always)]
+pub const fn mutant(_: Mutant) -> bool {
+    false
+}
+
+/// Plants a bug in the code that runs on this thread, or takes it out again.
+#[cfg(feature = "mutants")]
+pub fn plant(bug: Option<Mutant>) {
+    ACTIVE.with(|active| active.set(bug));
+}
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -68,7 +68,7 @@
 const OPEN_SHARE: f64 = 0.85;
 
 /// One router: feed it events, carry out its actions.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Router {
     set: Settings,
     rng: Dice,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeSet, VecDeque};
 
 /// A router's only source of chance.
+#[derive(Clone, Debug)]
 pub(crate) struct Dice(Pcg64Mcg);
 
 impl Dice {
@@ -28,7 +29,7 @@
 pub(crate) type Samples<T> = VecDeque<(Time, T)>;
 
 /// What a router knows of a member.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Member {
     pub(crate) group: GroupId,
     pub(crate) weight: f64,
@@ -70,7 +71,7 @@
 }
 
 /// What it knows of a group.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Group {
     pub(crate) members: Vec<MemberId>,
     pub(crate) waiting: BTreeSet<u64>,
@@ -79,6 +80,7 @@
 }
 
 /// An attempt, as its request knows it.
+#[derive(Clone, Debug)]
 pub(crate) struct Attempt {
     pub(crate) member: MemberId,
     pub(crate) sent: Time,
@@ -89,6 +91,7 @@
 }
 
 /// A request that has no final answer yet.
+#[derive(Clone, Debug)]
 pub(crate) struct Request {
     pub(crate) id: RequestId,
     pub(crate) class: usize,
@@ -105,6 +108,7 @@
 }
 
 /// An attempt that is out, kept until its outcome comes, also when its request is over.
+#[derive(Clone, Debug)]
 pub(crate) struct Out {
     pub(crate) member: MemberId,
     pub(crate) sent: Time,
--- a/crates/sessions/src/keeper.rs
+++ b/crates/sessions/src/keeper.rs
@@ -99,6 +99,7 @@
 
 /// All that one instance knows of sessions. Has no clock: every call is told the time. A time that lies a little
 /// before the last one does no harm.
+#[derive(Clone, Debug)]
 pub struct Keeper {
     set: Settings,
     epoch: Time,
@@ -114,6 +115,7 @@
     counts: Counts,
 }
 
+#[derive(Clone, Debug)]
 struct Group {
     outbox: Outbox,
     /// By the number of the instance; this one's own place is never used.
--- a/crates/sessions/src/memory.rs
+++ b/crates/sessions/src/memory.rs
@@ -17,7 +17,7 @@
 }
 
 /// Keys are hashes already, of a secret seed; mixing them once more is for the group.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct KeyHasher(u64);
 
 impl Hasher for KeyHasher {
@@ -38,6 +38,7 @@
 
 /// Marks by session. Holds `exact` entries; the one that was used longest ago gives way to the summary, which
 /// keeps its mark (an upper bound of it) and forgets how far that covers.
+#[derive(Clone, Debug)]
 pub struct Memory {
     exact: LruCache<Key, Entry, BuildHasherDefault<KeyHasher>>,
     rest: Sketch,
--- a/crates/sessions/src/outbox.rs
+++ b/crates/sessions/src/outbox.rs
@@ -11,7 +11,7 @@
 /// Each datagram repeats the interval of the one before, so that one lost datagram leaves no gap. What does not
 /// fit is left out, the lowest marks first, and bounded by the base: the receivers ask that much of every
 /// session then, which costs nothing once replicas have passed it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Outbox {
     group: GroupId,
     /// Ends of the last two intervals that were told, the older one first.
--- a/crates/sessions/src/sketch.rs
+++ b/crates/sessions/src/sketch.rs
@@ -10,6 +10,7 @@
 /// highest mark that was put in for it; it is above where in each of its rows another key's higher mark fell on
 /// the same cell. With `n` keys put in and `w` cells a row, of which a share `p` has marks above the one asked
 /// for, that happens to [`false_share`]`(p * n, w)` of the keys.
+#[derive(Clone, Debug)]
 pub struct Sketch {
     cells: Vec<Mark>,
     width: usize,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,7 +6,7 @@
 pub mod config;
 pub mod counters;
 pub mod discovery;
-pub mod ending;
+pub use petrelgauge_lifecycle::ending;
 pub mod front;
 pub mod hosts;
 pub mod peers;
