Let the network carry out what the machines of attempts and connections say

Need: whether an attempt may have run, when its connection rests and when its end may be told were decided between selects and drops in hosts.rs.

Change: hosts.rs reads, writes, connects and closes; the exchange says in which stage an attempt is and how it ends, the rest which connection is used next and which are closed, the verdict what a host's code means. The end of an attempt can only be had by putting its connection away first.

--- a/crates/lifecycle/src/ending.rs
+++ b/crates/lifecycle/src/ending.rs
@@ -102,6 +102,11 @@
         End::Stopped,
     ];
 
+    /// A host said so, in a whole answer of its own to this attempt.
+    pub fn is_answer(self) -> bool {
+        matches!(self, End::Served | End::HostError | End::TurnedAway | End::Full | End::Unusable)
+    }
+
     /// What the decisions are told of an attempt that ended so.
     pub fn for_decisions(self) -> Ending {
         match self {
--- a/crates/lifecycle/src/exchange.rs
+++ b/crates/lifecycle/src/exchange.rs
@@ -85,7 +85,9 @@
 pub enum Away {
     /// It may carry another request.
     Rest,
-    /// It is closed.
+    /// It is closed: more came than belonged to the answer, and more of it may follow.
+    Surplus,
+    /// It is closed, as the attempt's own end says.
     Close,
 }
 
@@ -108,8 +110,12 @@
 
 impl Exchange {
     /// On a connection that rested; else on a new one, which must be up by `up_by`.
-    pub fn new(reused: bool, up_by: Time, until: Time) -> Exchange {
-        let stage = if reused { Stage::Writing } else { Stage::Connecting { by: up_by.min(until) } };
+    pub fn new(reused: bool, now: Time, up_by: Time, until: Time) -> Exchange {
+        let stage = match reused {
+            true if now >= until => Stage::Ended(End::TooLate),
+            true => Stage::Writing,
+            false => Stage::Connecting { by: up_by.min(until) },
+        };
         Exchange { stage, until, ready: false }
     }
 
@@ -194,9 +200,11 @@
     /// its own and is ready for more. `unread`: bytes of it lie there that belong to no answer.
     pub fn put_away(self, unread: bool) -> Option<(Away, Told)> {
         let end = self.ended()?;
-        let whole = matches!(end, End::Served | End::HostError | End::TurnedAway | End::Full | End::Unusable);
-        let clean = !unread || mutant(Mutant::UnreadRests);
-        let away = if whole && self.ready && clean { Away::Rest } else { Away::Close };
+        let away = match (end.is_answer() && self.ready, unread && !mutant(Mutant::UnreadRests)) {
+            (true, false) => Away::Rest,
+            (true, true) => Away::Surplus,
+            (false, _) => Away::Close,
+        };
         Some((away, Told { end }))
     }
 }
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -7,6 +7,7 @@
 //! | `asked.rs` | a client's request at the front | waiting, out, ended |
 //! | `exchange.rs` | an attempt on a connection | connecting, greeting, writing, waiting, answering, ended |
 //! | `rest.rs` | a connection between requests | resting, in use, ended |
+//! | `verdict.rs` | what a host's answer says of an attempt | |
 //! | `ending.rs` | every way in which a connection or an attempt can end | |
 //!
 //! **Promises**, each checked by the exhaustive models of `petrelgauge-models`: an attempt is reported once, after its
@@ -21,7 +22,7 @@
 //! use petrelgauge_lifecycle::ending::End;
 //!
 //! // On a connection that rested: written, and then the host goes silent.
-//! let mut attempt = Exchange::new(true, 0, 500_000);
+//! let mut attempt = Exchange::new(true, 0, 0, 500_000);
 //! attempt.on(1_000, Event::Written);
 //! assert!(attempt.may_have_run());
 //! attempt.on(500_000, Event::Due);
@@ -35,3 +36,4 @@
 pub mod ending;
 pub mod exchange;
 pub mod rest;
+pub mod verdict;
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -4,13 +4,17 @@
 use crate::net::budget::{Budget, Hold, Idleness, Slot};
 use crate::net::clock::Clock;
 use crate::net::counters::{Counters, Gauge};
-use crate::net::ending::End;
 use crate::net::pg::{self, Answer, Framer, Gather, Message, Reply};
 use crate::net::room::Room;
 use crate::net::statement::Statement;
 use crate::{settings, MemberId, Report, Role, Time};
+use bytes::Buf;
+use petrelgauge_lifecycle::ending::End;
+use petrelgauge_lifecycle::exchange::{Away, Event, Exchange, Stage};
+use petrelgauge_lifecycle::rest::{is_copy, Keep, Look, Resting};
+use petrelgauge_lifecycle::verdict;
 use socket2::SockRef;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::BTreeMap;
 use std::hash::Hasher;
@@ -19,22 +23,11 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-/// Span in which an answer that has begun must be whole (microseconds): hosts write it in one go. One that
-/// claims to go on and does not would else keep its request until its time is over.
-const ANSWER: Time = 300_000;
-/// Span that a connection best rests after an answer (microseconds). What a host sends behind an answer comes
-/// within it. One may be used sooner, for want of another.
-const REST: Time = 20_000;
-/// Span after an answer in which the next one must not be its copy (microseconds).
-const RECENT: Time = 1_000_000;
 /// Spans after which an idle client can be spared, while there is room, and when there is none: if it has asked
 /// for nothing, and if it was answered (microseconds).
 const QUIET: Time = 100_000;
 const SLOW: Time = 20_000;
 const UNUSED: Time = 1_000_000;
-/// Span that a position may lie ahead of this gateway's clock (microseconds).
-const AHEAD: Time = 1_000_000;
-
 /// Where a host listens and since when it runs. A connection to another address or an earlier run is of no
 /// more use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,8 +64,7 @@
     counters: Rc<Counters>,
     room: Rc<Room>,
     connect_span: Time,
-    /// An idle connection is closed after this span.
-    keep: Time,
+    keep: Keep,
     out: Gauge,
 }
 
@@ -94,8 +86,7 @@
             counters,
             room,
             connect_span,
-            // Well before the host does it: a request that crosses its closing would end as a reset.
-            keep: idle_span / 4 * 3,
+            keep: Keep::for_hosts(idle_span),
             out: Gauge::default(),
         })
     }
@@ -129,10 +120,10 @@
 
     /// Closes idle connections that are too old or that their host has closed.
     pub fn sweep(&self) {
-        let oldest = self.clock.now() - self.keep;
+        let now = self.clock.now();
         for host in self.hosts.borrow_mut().values_mut() {
             host.idle.retain(|(since, connection)| {
-                let end = if *since < oldest { Some(End::Retired) } else { connection.spoilt() };
+                let end = self.keep.sweep(now, connection.resting(*since), connection.look());
                 end.into_iter().for_each(|end| self.counters.ended(end));
                 end.is_none()
             });
@@ -189,164 +180,206 @@
     pub async fn attempt(self: Rc<Self>, mut attempt: Attempt, statement: Rc<Statement>) -> Option<Given> {
         self.counters.attempts.add();
         let _out = self.out.enter();
-        let written = Cell::new(false);
         let (host, until) = (attempt.host, attempt.until);
-        let tried = tokio::select! {
-            biased;
-            tried = self.exchange(host, until, &statement, &written) => tried,
-            () = attempt.called_off() => Err(End::CalledOff),
-            () = self.clock.sleep_until(until) => {
-                Err(if written.get() { End::NoAnswer } else { End::ConnectSilent })
-            }
-        };
-        // By now an abandoned connection is closed: the exchange that held it is gone. Only then may the
-        // outcome be told, or a second copy could go out beside the first.
+        let mut line = Line::new(self.reuse(host), self.budget.hold(false));
+        let now = self.clock.now();
+        let mut life = Exchange::new(line.connection.is_some(), now, now + self.connect_span, until);
+        while life.ended().is_none() {
+            let event = tokio::select! {
+                biased;
+                event = self.work(life.stage(), host, until, &statement, &mut line) => event,
+                () = attempt.called_off() => Event::CalledOff,
+                () = self.clock.sleep_until(life.due()) => Event::Due,
+            };
+            life.on(self.clock.now(), event);
+        }
         let now = self.clock.now();
-        let (end, outcome, answer) = match tried {
-            Ok((reply, hold)) => {
-                let (end, outcome) = judge(&reply, now);
-                (end, outcome, Some(Given { answer: reply.answer, _hold: hold }))
+        let Line { connection, reply, hold, .. } = line;
+        if reply.as_ref().is_some_and(|reply| reply.ready) {
+            life.host_is_ready();
+        }
+        let unread = connection.as_ref().is_some_and(|connection| !connection.framer.is_empty());
+        let (away, told) = life.put_away(unread)?;
+        match (connection, away) {
+            (Some(connection), Away::Rest) => self.put_back(host, connection),
+            (connection, away) => {
+                drop(connection);
+                if away == Away::Surplus {
+                    self.counters.ended(End::HostSurplus);
+                }
             }
-            Err(end) => (end, Outcome::silent(end.for_decisions()), None),
+        }
+        self.counters.ended(told.end);
+        log::debug!("attempt at {host} ended: {:?}", told.end);
+        // What a host said counts only if that is how the attempt ended.
+        let reply = reply.filter(|_| told.end.is_answer());
+        let outcome = match &reply {
+            Some(reply) => outcome(told.end, reply, now),
+            None => Outcome::silent(told.end.for_decisions()),
         };
-        self.counters.ended(end);
-        log::debug!("attempt at {host} ended: {end:?}");
         let owed = attempt.report(now, outcome);
-        answer.filter(|_| owed)
+        reply.map(|reply| Given { answer: reply.answer, _hold: hold }).filter(|_| owed)
     }
 
-    async fn exchange(
+    /// Does what the stage of an attempt asks for, until something happens. May be cancelled without loss.
+    async fn work(
         &self,
-        id: MemberId,
+        stage: Stage,
+        host: MemberId,
         until: Time,
         statement: &Statement,
-        written: &Cell<bool>,
-    ) -> Result<(Reply, Hold), End> {
-        let mut hold = self.budget.hold(false);
-        let mut connection = match self.reuse(id) {
-            Some(connection) => connection,
-            None => {
-                let up_by = until.min(self.clock.now() + self.connect_span);
-                tokio::select! {
-                    biased;
-                    connection = self.connect(id, &mut hold) => match connection? {
-                        Opened::Ready(connection) => connection,
-                        Opened::TurnedAway(reply) => return Ok((reply, hold)),
-                    },
-                    () = self.clock.sleep_until(up_by) => return Err(End::ConnectSilent),
+        line: &mut Line,
+    ) -> Event {
+        let Some(connection) = &mut line.connection else {
+            return match self.connect(host).await {
+                Ok(connection) => {
+                    line.connection = Some(connection);
+                    Event::Connected
                 }
-            }
+                Err(event) => event,
+            };
         };
-        let left = until - self.clock.now();
-        if left <= 0 {
-            return Err(End::TooLate);
+        match stage {
+            Stage::Writing => {
+                let left = until - self.clock.now();
+                let query =
+                    line.query.get_or_insert_with(|| Box::new(statement.query((left / 1000).max(1) as u64)));
+                match connection.stream.write_all_buf(query).await {
+                    Ok(()) => {
+                        self.counters.sent.add();
+                        Event::Written
+                    }
+                    Err(_) => Event::Broke,
+                }
+            }
+            Stage::Connecting { .. } | Stage::Greeting { .. } => self.greeting(line).await,
+            Stage::Waiting | Stage::Answering { .. } => self.answer(stage, line).await,
+            Stage::Ended(_) => std::future::pending().await,
         }
-        let mut query = statement.query((left / 1000).max(1) as u64);
-        connection.stream.write_all_buf(&mut query).await.map_err(|_| End::BrokenUnsent)?;
-        written.set(true);
-        self.counters.sent.add();
-        let reply = self.reply(&mut connection, &mut hold).await?;
-        if reply.ready {
-            self.put_back(id, connection);
+    }
+
+    /// What a host says before it takes requests.
+    async fn greeting(&self, line: &mut Line) -> Event {
+        let Some(connection) = &mut line.connection else { return Event::Broke };
+        loop {
+            loop {
+                let message = match connection.next() {
+                    Ok(Some(message)) => message,
+                    Ok(None) => break,
+                    Err(event) => return event,
+                };
+                match message.kind() {
+                    b'R' if message.body() == [0; 4] => {}
+                    b'S' | b'K' | b'N' | b'v' => {}
+                    b'Z' => return Event::Greeted,
+                    b'E' => {
+                        let mut gather = Gather::default();
+                        if gather.take(message).is_err() {
+                            return Event::Malformed;
+                        }
+                        line.reply = gather.ended();
+                        let end = line.reply.as_ref().map(judge);
+                        return end.map_or(Event::Broke, Event::TurnedAway);
+                    }
+                    _ => return Event::Malformed,
+                }
+            }
+            if connection.read(&self.room).await.is_err() {
+                return Event::Broke;
+            }
+            if !line.hold.set(connection.framer.len()) {
+                return Event::NoMemory;
+            }
         }
-        Ok((reply, hold))
     }
 
-    /// The answer to the query that was written.
-    async fn reply(&self, connection: &mut Connection, hold: &mut Hold) -> Result<Reply, End> {
-        let (mut gather, mut taken, mut hash) = (Gather::default(), 0, DefaultHasher::new());
-        // When the answer must be whole, once it has begun.
-        let mut by = None;
+    /// What a host says to a request that was written.
+    async fn answer(&self, stage: Stage, line: &mut Line) -> Event {
+        let Some(connection) = &mut line.connection else { return Event::Broke };
         loop {
-            while let Some(message) = connection.next()? {
-                taken += message.raw.len();
-                hash.write(&message.raw);
-                if let Some(reply) = gather.take(message).map_err(|_| End::HostMalformed)? {
-                    let unlike = reply.told.iter().any(|(name, _)| name == "log_position");
-                    let last = std::mem::replace(&mut connection.last, unlike.then(|| hash.finish()));
-                    // Whose answer this is nobody knows, and whether the request has run neither.
-                    let copy = connection.recent && last.is_some() && last == connection.last;
-                    return if copy { Err(End::HostRepeated) } else { Ok(reply) };
+            loop {
+                let message = match connection.next() {
+                    Ok(Some(message)) => message,
+                    Ok(None) => break,
+                    Err(event) => return event,
+                };
+                line.taken += message.raw.len();
+                line.hash.write(&message.raw);
+                match line.gather.take(message) {
+                    Err(_) => return Event::Malformed,
+                    Ok(None) => {}
+                    Ok(Some(reply)) => {
+                        let tells = reply.told.iter().any(|(name, _)| name == "log_position");
+                        let this = tells.then(|| line.hash.finish());
+                        let last = std::mem::replace(&mut connection.last, this);
+                        let (end, copy) = (judge(&reply), is_copy(connection.recent, last, this));
+                        line.reply = Some(reply);
+                        return Event::Answered { end, copy };
+                    }
                 }
             }
-            let read = tokio::select! {
-                biased;
-                read = connection.read(&self.room) => read,
-                () = self.clock.sleep_until(by.unwrap_or_default()), if by.is_some() => Err(End::HostStalled),
-            };
-            match read {
-                Ok(()) if !hold.set(taken + connection.framer.len()) => return Err(End::NoMemory),
-                Ok(()) => by = by.or(Some(self.clock.now() + ANSWER)),
-                Err(end) => return gather.ended().ok_or(end),
+            if connection.read(&self.room).await.is_err() {
+                line.reply = line.gather.ended();
+                let end = line.reply.as_ref().map(judge);
+                return end.map_or(Event::Broke, |end| Event::Answered { end, copy: false });
+            }
+            if !line.hold.set(line.taken + connection.framer.len()) {
+                return Event::NoMemory;
+            }
+            if stage == Stage::Waiting {
+                return Event::Began;
             }
         }
     }
 
-    /// The idle connection that was used last of those that have rested: the others grow old and are closed.
-    /// If none has, the one that has rested longest of those whose answers can be told from copies.
+    /// A connection that rested and may carry a request.
     fn reuse(&self, id: MemberId) -> Option<Connection> {
         let now = self.clock.now();
         let mut hosts = self.hosts.borrow_mut();
         let idle = &mut hosts.get_mut(&id)?.idle;
         loop {
-            let rested = idle.iter().rposition(|(since, _)| now - since >= REST);
-            let place = rested.or_else(|| idle.iter().position(|(_, one)| one.last.is_some()))?;
+            let resting: Vec<Resting> = idle.iter().map(|(since, one)| one.resting(*since)).collect();
+            let place = self.keep.choose(now, &resting)?;
             let (since, mut connection) = idle.remove(place);
-            connection.recent = now - since < RECENT;
-            match connection.spoilt() {
-                None if now - since <= self.keep => return Some(connection),
-                end => self.counters.ended(end.unwrap_or(End::Retired)),
+            match self.keep.may_use(now, connection.resting(since), connection.look()) {
+                Ok(recent) => {
+                    connection.recent = recent;
+                    return Some(connection);
+                }
+                Err(end) => self.counters.ended(end),
             }
         }
     }
 
     fn put_back(&self, id: MemberId, connection: Connection) {
         let mut hosts = self.hosts.borrow_mut();
-        match hosts.get_mut(&id).filter(|host| host.site == connection.site && host.site.up) {
-            // What came behind the answer is nobody's, and more of it may follow.
-            Some(_) if !connection.framer.is_empty() => self.counters.ended(End::HostSurplus),
-            Some(host) => host.idle.push((self.clock.now(), connection)),
-            None => self.counters.ended(End::Retired),
+        let home = hosts.get_mut(&id).filter(|host| host.site == connection.site && host.site.up);
+        match (self.keep.come_to_rest(home.is_some()), home) {
+            (Ok(()), Some(host)) => host.idle.push((self.clock.now(), connection)),
+            (end, _) => self.counters.ended(end.err().unwrap_or(End::Retired)),
         }
     }
 
-    async fn connect(&self, id: MemberId, hold: &mut Hold) -> Result<Opened, End> {
-        let site = self.hosts.borrow().get(&id).map(|host| host.site).ok_or(End::NoAddress)?;
+    async fn connect(&self, id: MemberId) -> Result<Connection, Event> {
+        let site = self.hosts.borrow().get(&id).map(|host| host.site);
+        let site = site.ok_or(Event::NotTried(End::NoAddress))?;
         if !self.make_room() {
-            return Err(End::NoDescriptor);
+            return Err(Event::NotTried(End::NoDescriptor));
         }
         let slot = self.budget.take();
         self.counters.host_connects.add();
         let stream = TcpStream::connect(site.address).await.map_err(|cause| match cause.raw_os_error() {
-            Some(EMFILE | ENFILE | EADDRNOTAVAIL) => End::NoDescriptor,
-            _ => End::ConnectRefused,
+            Some(EMFILE | ENFILE | EADDRNOTAVAIL) => Event::NotTried(End::NoDescriptor),
+            _ => Event::Refused,
         })?;
         let _ = stream.set_nodelay(true);
         let mut connection =
             Connection { stream, framer: Framer::default(), site, last: None, recent: false, _slot: slot };
         let mut startup = Vec::new();
         pg::put_startup(&mut startup);
-        connection.stream.write_all(&startup).await.map_err(|_| End::BrokenUnsent)?;
-        loop {
-            while let Some(message) = connection.next().map_err(|_| End::BrokenUnsent)? {
-                match message.kind() {
-                    b'R' if message.body() == [0; 4] => {}
-                    b'S' | b'K' | b'N' | b'v' => {}
-                    b'Z' => return Ok(Opened::Ready(connection)),
-                    // Turned away, with the reason.
-                    b'E' => {
-                        let mut gather = Gather::default();
-                        gather.take(message).map_err(|_| End::BrokenUnsent)?;
-                        return gather.ended().map(Opened::TurnedAway).ok_or(End::BrokenUnsent);
-                    }
-                    _ => return Err(End::BrokenUnsent),
-                }
-            }
-            connection.read(&self.room).await.map_err(|_| End::BrokenUnsent)?;
-            if !hold.set(connection.framer.len()) {
-                return Err(End::NoDescriptor);
-            }
-        }
+        // It is up; that the host is gone again shows with the greeting.
+        let _ = connection.stream.write_all(&startup).await;
+        Ok(connection)
     }
 }
 
@@ -362,56 +395,71 @@
     _hold: Hold,
 }
 
-enum Opened {
-    Ready(Connection),
-    TurnedAway(Reply),
+/// An attempt's connection and what has been read of its answer.
+struct Line {
+    connection: Option<Connection>,
+    query: Option<Box<dyn Buf>>,
+    gather: Gather,
+    taken: usize,
+    hash: DefaultHasher,
+    reply: Option<Reply>,
+    hold: Hold,
+}
+
+impl Line {
+    fn new(connection: Option<Connection>, hold: Hold) -> Line {
+        let (gather, hash) = (Gather::default(), DefaultHasher::new());
+        Line { connection, query: None, gather, taken: 0, hash, reply: None, hold }
+    }
 }
 
 impl Connection {
     /// The next message, if it is there whole.
-    fn next(&mut self) -> Result<Option<Message>, End> {
+    fn next(&mut self) -> Result<Option<Message>, Event> {
         match self.framer.kind() {
-            Some(kind) if !pg::FROM_HOST.contains(&kind) => Err(End::HostMalformed),
-            _ => self.framer.message().map_err(|_| End::HostMalformed),
+            Some(kind) if !pg::FROM_HOST.contains(&kind) => Err(Event::Malformed),
+            _ => self.framer.message().map_err(|_| Event::Malformed),
         }
     }
 
+    fn resting(&self, since: Time) -> Resting {
+        Resting { since, tells_copies: self.last.is_some() }
+    }
+
     /// Reads once. The framer bounds what is kept: no message is longer than `pg::MOST`.
-    async fn read(&mut self, room: &Room) -> Result<(), End> {
+    async fn read(&mut self, room: &Room) -> Result<(), Event> {
         loop {
-            self.stream.readable().await.map_err(|_| End::BrokenSent)?;
+            self.stream.readable().await.map_err(|_| Event::Broke)?;
             let stream = &self.stream;
             match room.read(|bytes| stream.try_read(bytes), Some(&mut self.framer)) {
-                Ok(Some(0)) | Err(_) => return Err(End::BrokenSent),
+                Ok(Some(0)) | Err(_) => return Err(Event::Broke),
                 Ok(Some(_)) => return Ok(()),
                 Ok(None) => {}
             }
         }
     }
 
-    /// An idle connection that says something or ends is of no use. The kernel is asked itself: the reactor
-    /// has not yet heard of what came a moment ago.
-    fn spoilt(&self) -> Option<End> {
+    /// What the kernel says of it while it rests. The kernel is asked itself: the reactor has not yet heard of what
+    /// came a moment ago.
+    fn look(&self) -> Look {
         match SockRef::from(&self.stream).peek(&mut [std::mem::MaybeUninit::uninit()]) {
-            Err(cause) if cause.kind() == std::io::ErrorKind::WouldBlock => None,
-            Ok(0) | Err(_) => Some(End::HostClosedIdle),
-            Ok(_) => Some(End::HostSurplus),
+            Err(cause) if cause.kind() == std::io::ErrorKind::WouldBlock => Look::Quiet,
+            Ok(0) | Err(_) => Look::Closed,
+            Ok(_) => Look::Spoke,
         }
     }
 }
 
-/// How an answered attempt ended, and what the decisions are told of it.
-fn judge(reply: &Reply, now: Time) -> (End, Outcome) {
-    let end = match &reply.answer {
+/// How an answered attempt ended.
+fn judge(reply: &Reply) -> End {
+    match &reply.answer {
         Answer::Row(_) => End::Served,
-        Answer::Error(code) => match code.as_str() {
-            "25006" | "72000" => End::TurnedAway,
-            "53300" => End::Full,
-            // Of these classes the statement is at fault: a further host would say the same.
-            code if ["08P01", "0A", "22", "42"].iter().any(|class| code.starts_with(class)) => End::Unusable,
-            _ => End::HostError,
-        },
-    };
+        Answer::Error(code) => verdict::of_code(code),
+    }
+}
+
+/// What the decisions are told of an answered attempt.
+fn outcome(end: End, reply: &Reply, now: Time) -> Outcome {
     let mut outcome = Outcome::silent(end.for_decisions());
     outcome.unusable = end == End::Unusable;
     for (name, value) in &reply.told {
@@ -424,15 +472,13 @@
                 }
             }
             "log_position" => {
-                let position = value.parse::<Time>().ok().and_then(|ms| ms.checked_mul(1000));
-                // One clock is read by all: what lies ahead of it was not read but made up.
-                outcome.position = position.filter(|at| *at > 0 && *at <= now + AHEAD);
+                outcome.position = value.parse().ok().and_then(|ms| verdict::position(ms, now));
             }
             "pressure" => outcome.report = pressure(value),
             _ => {}
         }
     }
-    (end, outcome)
+    outcome
 }
 
 /// A load report: names and values, positions as Unix times in seconds.
