Let the front ask a machine which of several ends a request has

Need: which of a host's answer, a refusal and a client's leaving counts was the order of a select's arms and their returns.

Change: front.rs tells what happened to petrelgauge-lifecycle's Asked and does what it says.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -12,6 +12,7 @@
 use crate::net::statement::Statement;
 use crate::{Class, Effect, Need, Time};
 use bytes::{Buf, Bytes};
+use petrelgauge_lifecycle::asked::{Asked, Event, Final as Last};
 use std::cell::RefCell;
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -614,28 +615,40 @@
         let front = self.front.clone();
         front.counters.requests.add();
         let mut ticket = front.facade.admit(taken.request.clone());
+        let (mut asked, mut given, mut left) = (Asked::default(), None, End::ClientLeft);
         let mut attempt: Option<JoinHandle<Option<Given>>> = None;
         loop {
             // The order matters: what a host served goes before what the decisions say, and both before
             // the client's leaving, which withdraws the request with the ticket.
-            tokio::select! {
+            let event = tokio::select! {
                 biased;
-                given = finished(&mut attempt) => match given {
-                    Some(given) => return Ok(Final::Given(given)),
-                    None => attempt = None,
-                },
+                ended = finished(&mut attempt) => {
+                    (attempt, given) = (None, ended);
+                    Event::Returned { owed: given.is_some() }
+                }
                 decision = ticket.pick() => match decision {
                     // Its own task: a keyed write that failed for its client may still be out.
                     Decision::Send(send) => {
                         let sent = front.hosts.clone().attempt(send, taken.statement.clone());
                         attempt = Some(tokio::task::spawn_local(sent));
+                        Event::Ordered
                     }
-                    Decision::Refuse { wait } => return Ok(Final::Refused { wait }),
-                    Decision::Fail => return Ok(Final::Failed),
+                    Decision::Refuse { wait } => Event::Refused { wait },
+                    Decision::Fail => Event::Failed,
                 },
                 end = self.inbox.left() => {
+                    left = end;
+                    Event::Left
+                }
+            };
+            match (asked.on(event), given.take()) {
+                (None, _) => {}
+                (Some(Last::Given), Some(given)) => return Ok(Final::Given(given)),
+                (Some(Last::Refused { wait }), _) => return Ok(Final::Refused { wait }),
+                (Some(Last::Failed | Last::Given), _) => return Ok(Final::Failed),
+                (Some(Last::Withdrawn), _) => {
                     front.counters.left.add();
-                    return Err(end);
+                    return Err(left);
                 }
             }
         }
