Explore the machines exhaustively: five models, nineteen planted bugs, each found with a story

Need: load tests can't find the races of a time-out, a late answer, a drain and a restart.

Change: crates/models plays every order of events on the gateway's own code (stateright): attempts before the real desk and module, one connection, marks between two instances. Bugs are planted by a feature that only this crate switches on; a broken property comes with its shortest run as a story, which can be played again.

Found and fixed: a deployment of writes alone was refused whole (the share refused unsent was 0 to the power of 0); an instance quiet in a group told the others nothing of it, so that they never knew enough of that group.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -56,6 +56,12 @@
     },
     /// Some load on a stage, and a table of what was served
     Demo,
+    /// Plays the exhaustive models: `petrelgauge-models`, which is built apart
+    Models {
+        /// Handed on
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        arguments: Vec<String>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -91,5 +97,9 @@
         }
         Command::Up { gateways, members, operator, json } => demo::up(gateways, members, operator, json),
         Command::Demo => demo::run(),
+        Command::Models { arguments } => {
+            let program = std::env::current_exe()?.with_file_name("petrelgauge-models");
+            Ok(std::process::Command::new(program).args(arguments).status()?.success())
+        }
     }
 }
--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -285,6 +285,9 @@
             self.groups.clear();
         }
         self.groups.extend(entries.iter().map(|entry| entry.group));
+        if let Some(keeper) = &mut self.keeper {
+            self.groups.iter().for_each(|group| keeper.serve(*group));
+        }
         let gone = |entry: &&Entry| entry.standing == Standing::Gone;
         let left: Vec<MemberId> = entries.iter().filter(gone).map(|entry| entry.member).collect();
         let named: BTreeSet<MemberId> = entries.iter().map(|entry| entry.member).collect();
@@ -344,7 +347,11 @@
                 Some(Order::Fail { request })
             }
             Action::CallOff { request, attempt } => {
-                let out = self.out.contains(&(request.clone(), attempt));
+                let name = (request.clone(), attempt);
+                let out = self.out.contains(&name);
+                if mutant(Mutant::LostReport) {
+                    self.out.remove(&name);
+                }
                 out.then_some(Order::CallOff { request, attempt })
             }
             Action::Timer { token, at } => {
@@ -359,6 +366,9 @@
 
     /// The client no longer waits. Whether the request was still open.
     pub fn withdraw(&mut self, request: &RequestId) -> bool {
+        if mutant(Mutant::SentAfterEnd) {
+            return self.open.contains_key(request);
+        }
         let Some(open) = self.open.remove(request) else { return false };
         if let Open { attempts: 1.., watch: Some(Watch { key, floor: None, .. }) } = open {
             self.unsure.push(key);
@@ -386,11 +396,8 @@
         }
         let answered = outcome.ending == Ending::Served || outcome.unusable;
         // Closed here and not by the next step: no refusal may overtake an answer.
-        let owed = answered
-            && match mutant(Mutant::RefusalOvertakes) {
-                true => self.open.contains_key(&send.request),
-                false => self.open.remove(&send.request).is_some(),
-            };
+        let owed =
+            answered && (self.open.remove(&send.request).is_some() || mutant(Mutant::RefusalOvertakes));
         self.queue.push(Event::Outcome {
             request: send.request.clone(),
             attempt: send.attempt,
--- a/crates/lifecycle/src/exchange.rs
+++ b/crates/lifecycle/src/exchange.rs
@@ -168,6 +168,7 @@
             (Greeting { .. }, Event::NoMemory) => Ended(End::NoDescriptor),
             (Connecting { by } | Greeting { by }, Event::Due) if now >= by => Ended(End::ConnectSilent),
 
+            (Writing, Event::Written) if mutant(Mutant::EarlyStall) => Answering { by: now + ANSWER },
             (Writing, Event::Written) => Waiting,
             (Writing, Event::Broke) => Ended(End::BrokenUnsent),
             // Not written whole: it never ran.
@@ -186,7 +187,6 @@
             (Waiting | Answering { .. }, Event::NoMemory) => Ended(End::NoMemory),
             (Waiting | Answering { .. }, Event::Due) if now >= self.until => Ended(End::NoAnswer),
             (Answering { by }, Event::Due) if now >= by => Ended(End::HostStalled),
-            (Waiting, Event::Due) if mutant(Mutant::EarlyStall) => Ended(End::ConnectSilent),
             (stage, _) => stage,
         }
     }
@@ -203,6 +203,7 @@
         let away = match (end.is_answer() && self.ready, unread && !mutant(Mutant::UnreadRests)) {
             (true, false) => Away::Rest,
             (true, true) => Away::Surplus,
+            (false, _) if mutant(Mutant::ToldBeforeClosed) => Away::Rest,
             (false, _) => Away::Close,
         };
         Some((away, Told { end }))
--- /dev/null
+++ b/crates/models/src/lib.rs
@@ -0,0 +1,91 @@
+//! Exhaustive models: every order of events in small cases, played on the code that runs in the gateway.
+//!
+//! A model is a world around that code: clients, hosts, a list, time. From each state it names every event that could
+//! come next; the checker plays them all, breadth first, so that the first broken property comes with a shortest run.
+//! The machines of an attempt, of a connection, the desk with the real decision module, and the keeper of sessions are
+//! cloned with each state; what tells two states apart is a 128-bit hash of all that the code and the world hold.
+//!
+//! | file | model |
+//! | --- | --- |
+//! | `attempts.rs` | requests, members and attempts before the real decision module: models `attempt`, `primary`, `desk` |
+//! | `connection.rs` | one connection that is used again: model `connection` |
+//! | `marks.rs` | sessions' marks between two instances: model `marks` |
+//! | `check.rs` | the checker, its report, and how a run is told and replayed |
+//!
+//! The bugs of [`petrelgauge_policy::Mutant`] are compiled in here and nowhere else.
+
+pub mod attempts;
+pub mod check;
+pub mod connection;
+pub mod marks;
+
+use check::Report;
+use petrelgauge_policy::Mutant;
+
+/// How large a model is played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Size {
+    /// For CI: all of them in under a minute.
+    Small,
+    /// Minutes on four cores.
+    Large,
+}
+
+/// A model by name.
+pub struct Named {
+    /// Its name.
+    pub name: &'static str,
+    /// What it plays.
+    pub plays: &'static str,
+    /// Plays it; an empty path plays all, else that one run.
+    pub run: fn(Size, &[String]) -> Report,
+}
+
+/// All models.
+pub const MODELS: [Named; 5] = [
+    Named {
+        name: "attempt",
+        plays: "one payment, two members, three attempts, one drain; time-out against late answer",
+        run: attempts::attempt,
+    },
+    Named {
+        name: "primary",
+        plays: "a payment and a bounded read, two members, one a stale primary; one list change, one host restart",
+        run: attempts::primary,
+    },
+    Named {
+        name: "desk",
+        plays: "a write that must not run twice and a read; outcome, refusal, withdrawal, call-off in every order",
+        run: attempts::desk,
+    },
+    Named {
+        name: "connection",
+        plays: "one host, requests one after the other; reuse, idle close, surplus, copies, stalls, retiring",
+        run: connection::run,
+    },
+    Named {
+        name: "marks",
+        plays: "two instances, one session; messages lost, late and out of order, one restart",
+        run: marks::run,
+    },
+];
+
+/// The model that is to find a bug.
+pub fn finder(bug: Mutant) -> &'static str {
+    match bug {
+        Mutant::DrainIgnored
+        | Mutant::WindowIgnored
+        | Mutant::ResetUnproved
+        | Mutant::SecondCopy
+        | Mutant::RefusedAsHarmless
+        | Mutant::RefusalOvertakes => "attempt",
+        Mutant::UnsafeRepeated | Mutant::SentAfterEnd | Mutant::LostReport => "desk",
+        Mutant::ToldBeforeClosed
+        | Mutant::EarlyStall
+        | Mutant::UnreadRests
+        | Mutant::SurplusReused
+        | Mutant::CopyTaken
+        | Mutant::OldReused => "connection",
+        Mutant::MergeLowers | Mutant::LossForgotten | Mutant::GapPassed | Mutant::BehindGiven => "marks",
+    }
+}
--- /dev/null
+++ b/crates/models/src/main.rs
@@ -0,0 +1,109 @@
+//! `petrelgauge-models`: plays the exhaustive models, with a planted bug or without.
+
+use clap::Parser;
+use petrelgauge_models::{finder, Named, Size, MODELS};
+use petrelgauge_policy::{plant, Mutant};
+use serde_json::{json, Value};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Plays every order of events in small cases on the gateway's own code
+#[derive(Parser)]
+#[command(name = "petrelgauge-models", version)]
+struct Arguments {
+    /// Only this model
+    #[arg(long)]
+    model: Option<String>,
+    /// The large sizes: minutes
+    #[arg(long)]
+    large: bool,
+    /// Plant a bug, which must be found; `all` for each of them in turn
+    #[arg(long)]
+    mutant: Option<String>,
+    /// Play the one run of this file again
+    #[arg(long)]
+    replay: Option<PathBuf>,
+    /// Write stories and a summary into this folder
+    #[arg(long)]
+    report: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    match run(&Arguments::parse()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(cause) => {
+            eprintln!("petrelgauge-models: {cause}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(arguments: &Arguments) -> Result<bool, String> {
+    let size = if arguments.large { Size::Large } else { Size::Small };
+    if let Some(file) = &arguments.replay {
+        return replay(file, size);
+    }
+    let bugs: Vec<Option<Mutant>> = match arguments.mutant.as_deref() {
+        None => vec![None],
+        Some("all") => Mutant::ALL.into_iter().map(Some).collect(),
+        Some(name) => {
+            let known = Mutant::ALL.into_iter().find(|bug| format!("{bug:?}") == name);
+            vec![Some(known.ok_or(format!("there is no bug {name:?}"))?)]
+        }
+    };
+    let mut sound = true;
+    for bug in bugs {
+        for model in MODELS.iter().filter(|model| wanted(arguments, bug, model)) {
+            plant(bug);
+            let report = (model.run)(size, &[]);
+            plant(None);
+            sound &= report.broken.is_some() == bug.is_some() && report.complete();
+            let planted = bug.map_or(String::new(), |bug| format!(" with {bug:?}"));
+            println!(
+                "{}{planted}: {} states, {} different, {} events deep, {} ms: {}",
+                model.name,
+                report.states,
+                report.unique,
+                report.depth,
+                report.took_ms,
+                report.broken.map_or("every property holds".to_string(), |what| format!("BROKEN: {what}")),
+            );
+            report.story.iter().enumerate().for_each(|(number, line)| println!("  {:2}. {line}", number + 1));
+            if let Some(folder) = &arguments.report {
+                let name = bug.map_or(model.name.to_string(), |bug| format!("{}-{bug:?}", model.name));
+                let value = json!({ "model": model.name, "bug": bug.map(|bug| format!("{bug:?}")), "report": report.json() });
+                std::fs::create_dir_all(folder).map_err(|cause| cause.to_string())?;
+                std::fs::write(folder.join(name + ".json"), format!("{value:#}\n"))
+                    .map_err(|cause| cause.to_string())?;
+            }
+        }
+    }
+    Ok(sound)
+}
+
+fn wanted(arguments: &Arguments, bug: Option<Mutant>, model: &Named) -> bool {
+    match (&arguments.model, bug) {
+        (Some(name), _) => model.name == name,
+        (None, Some(bug)) => model.name == finder(bug),
+        (None, None) => true,
+    }
+}
+
+/// Plays the run of a story's file, with its bug: true if it breaks what it broke then.
+fn replay(file: &Path, size: Size) -> Result<bool, String> {
+    let text =
+        std::fs::read_to_string(file).map_err(|cause| format!("cannot read {}: {cause}", file.display()))?;
+    let value: Value = serde_json::from_str(&text).map_err(|cause| cause.to_string())?;
+    let texts = |value: &Value| -> Vec<String> {
+        value.as_array().into_iter().flatten().filter_map(|one| one.as_str().map(str::to_string)).collect()
+    };
+    let model = MODELS.iter().find(|model| Some(model.name) == value["model"].as_str());
+    let model = model.ok_or("the file names no model that there is")?;
+    plant(Mutant::ALL.into_iter().find(|bug| Some(format!("{bug:?}").as_str()) == value["bug"].as_str()));
+    let report = (model.run)(size, &texts(&value["report"]["path"]));
+    plant(None);
+    report.story.iter().enumerate().for_each(|(number, line)| println!("  {:2}. {line}", number + 1));
+    println!("{}", report.broken.unwrap_or("nothing is broken"));
+    Ok(report.broken == value["report"]["broken"].as_str())
+}
--- /dev/null
+++ b/crates/models/src/marks.rs
@@ -0,0 +1,195 @@
+//! Model `marks`: one session that writes and reads through two instances which tell each other its marks; messages
+//! are lost, late and out of order, and one instance restarts without a snapshot. The keepers are the gateway's.
+
+use crate::check::{check, Report, World};
+use crate::Size;
+use petrelgauge_policy::{Role, Time};
+use petrelgauge_sessions::{Floor, Keeper, Key, Promise, Settings, Verdict};
+
+const START: Time = 1_000_000_000;
+/// Time that each event takes.
+const STEP: Time = 10_000;
+const PACE: Time = 20_000;
+const GROUP: u64 = 2;
+
+const LOW: &str = "no read is answered from data below its session's mark";
+const LET: &str = "the true primary's answer is never held back";
+
+/// An event.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Move {
+    /// The session writes at this instance.
+    Writes(usize),
+    /// It reads at this instance.
+    Reads(usize),
+    /// The read is answered from the oldest data that passes, of data this many steps old at most.
+    Answered,
+    /// An instance tells its marks.
+    Tells(usize),
+    /// A datagram arrives.
+    Arrives(usize),
+    /// A datagram is lost.
+    Lost(usize),
+    /// An instance restarts and knows nothing.
+    Restarts(usize),
+}
+
+#[derive(Clone, Debug)]
+struct Pair {
+    now: Time,
+    keepers: [Keeper; 2],
+    key: Key,
+    /// What the session was told: its last commit, and the newest data that it saw.
+    wrote: Time,
+    saw: Time,
+    reading: Option<(usize, Floor, Time, Time)>,
+    /// Datagrams on their way to an instance.
+    flying: Vec<(usize, Vec<u8>)>,
+    events: usize,
+    most: usize,
+    restarts: usize,
+    broken: Option<&'static str>,
+}
+
+fn settings(me: u16) -> Settings {
+    Settings {
+        promise: Promise::WritesAndReads,
+        instances: 2,
+        me,
+        tokens: false,
+        exact: 2,
+        cells: 2,
+        pace: PACE,
+        secret: 3,
+        ..Settings::default()
+    }
+}
+
+fn keeper(me: usize, now: Time) -> Keeper {
+    let made = Keeper::new(settings(me as u16), now);
+    let mut keeper = made.unwrap_or_else(|cause| unreachable!("constant settings: {cause}"));
+    keeper.serve(GROUP);
+    keeper
+}
+
+impl World for Pair {
+    type Move = Move;
+
+    const PROPERTIES: &'static [&'static str] = &[LOW, LET];
+
+    fn moves(&self) -> Vec<Move> {
+        let mut moves = Vec::new();
+        if self.events >= self.most {
+            return moves;
+        }
+        if self.reading.is_some() {
+            moves.push(Move::Answered);
+        } else {
+            moves.extend((0..2).flat_map(|place| [Move::Writes(place), Move::Reads(place)]));
+        }
+        let due = |place: &usize| self.keepers[*place].due().is_some_and(|due| self.now >= due);
+        if self.flying.len() < 3 {
+            moves.extend((0..2).filter(due).map(Move::Tells));
+        }
+        moves.extend((0..self.flying.len()).flat_map(|place| [Move::Arrives(place), Move::Lost(place)]));
+        if self.restarts > 0 {
+            moves.extend((0..2).map(Move::Restarts));
+        }
+        moves
+    }
+
+    fn play(&mut self, event: &Move) {
+        self.events += 1;
+        self.now += STEP;
+        let (now, key) = (self.now, self.key);
+        match *event {
+            Move::Writes(place) => {
+                let commit = now - STEP / 2;
+                self.keepers[place].wrote(now, key, now - STEP, Some(commit));
+                self.wrote = commit;
+            }
+            Move::Reads(place) => {
+                let floor = self.keepers[place].ask(now, key, None);
+                self.reading = Some((place, floor, self.wrote, self.saw));
+            }
+            Move::Answered => {
+                let Some((place, floor, wrote, saw)) = self.reading.take() else { return };
+                let floor = self.keepers[place].settle(now, key, &floor).unwrap_or(floor);
+                let keeper = &mut self.keepers[place];
+                // The oldest data that a replica can show and that is let pass.
+                let ages = (0..30).rev().map(|steps| now - steps * STEP / 2);
+                let mut shown = None;
+                for position in ages {
+                    if keeper.judge(&floor, Some(position), None, Some(Role::Replica)) == Verdict::Proven {
+                        shown = Some(position);
+                        break;
+                    }
+                }
+                if keeper.judge(&floor, Some(now), None, Some(Role::Primary)) != Verdict::Proven {
+                    self.broken = Some(LET);
+                }
+                let shown = shown.unwrap_or(now);
+                if shown < wrote || shown < saw {
+                    self.broken = Some(LOW);
+                }
+                keeper.read(now, key, &floor, shown);
+                self.saw = self.saw.max(shown);
+            }
+            Move::Tells(place) => {
+                let told = self.keepers[place].tell(now);
+                self.flying.extend(told.into_iter().map(|bytes| (1 - place, bytes)));
+            }
+            Move::Arrives(place) => {
+                let (to, bytes) = self.flying.remove(place);
+                if self.keepers[to].receive(now, &bytes).is_err() {
+                    self.broken = Some(LET);
+                }
+            }
+            Move::Lost(place) => drop(self.flying.remove(place)),
+            Move::Restarts(place) => {
+                self.restarts -= 1;
+                self.keepers[place] = keeper(place, now);
+                // A read that it had is gone with it.
+                self.reading = self.reading.filter(|(at, ..)| *at != place);
+            }
+        }
+    }
+
+    fn told(&self, event: &Move) -> String {
+        let at = (self.now - START) / 1000;
+        let name = |place: &usize| ["the first gateway", "the second gateway"][*place];
+        let what = match event {
+            Move::Writes(place) => format!("the session pays at {}", name(place)),
+            Move::Reads(place) => format!("the session reads at {}", name(place)),
+            Move::Answered => "the read is answered from the oldest data that passes".into(),
+            Move::Tells(place) => format!("{} tells its marks", name(place)),
+            Move::Arrives(place) => format!("a datagram arrives at {}", name(&self.flying[*place].0)),
+            Move::Lost(place) => format!("a datagram to {} is lost", name(&self.flying[*place].0)),
+            Move::Restarts(place) => format!("{} restarts and knows nothing", name(place)),
+        };
+        format!("after {at} ms {what}")
+    }
+
+    fn broken(&self) -> Option<&'static str> {
+        self.broken
+    }
+}
+
+/// Plays it.
+pub fn run(size: Size, path: &[String]) -> Report {
+    let keepers = [keeper(0, START), keeper(1, START)];
+    let start = Pair {
+        now: START + 100 * STEP,
+        key: keepers[0].key(GROUP, "one"),
+        keepers,
+        wrote: 0,
+        saw: 0,
+        reading: None,
+        flying: Vec::new(),
+        events: 0,
+        most: if size == Size::Small { 7 } else { 9 },
+        restarts: 1,
+        broken: None,
+    };
+    check(start, path)
+}
--- a/crates/policy/src/router/list.rs
+++ b/crates/policy/src/router/list.rs
@@ -171,7 +171,7 @@
             return;
         }
         let effect = self.set.classes[req.class].effect;
-        if effect == Effect::Unsafe && !never_ran {
+        if effect == Effect::Unsafe && !never_ran && !mutant(UnsafeRepeated) {
             return self.finish(seq);
         }
         let group = req.group;
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -10,6 +10,7 @@
 mod sends;
 
 use crate::interface::*;
+use crate::mutant::{mutant, Mutant::*};
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- a/crates/policy/src/router/primary.rs
+++ b/crates/policy/src/router/primary.rs
@@ -21,7 +21,7 @@
     /// own answers, its silence and its probes decide, as for any other. Covers lists that are empty, old or
     /// short of running members; harms by an attempt or two at each member that has truly gone.
     pub(super) fn standing(&self, member: &Member) -> bool {
-        !member.drained && (member.standing == Standing::Up || self.set.soft_removal)
+        !member.drained && (member.standing == Standing::Up || self.set.soft_removal) || mutant(DrainIgnored)
     }
 
     pub(super) fn well(&self, id: MemberId) -> bool {
--- a/crates/policy/src/router/requests.rs
+++ b/crates/policy/src/router/requests.rs
@@ -26,7 +26,7 @@
         let reads = self.set.classes.iter().filter(|c| c.need != Need::Write);
         let least = reads.map(worth_for_work).fold(f64::INFINITY, f64::min).max(1e-12);
         let shed = if spec.need == Need::Write { 0.0 } else { self.shed };
-        if chance < shed.powf(worth_for_work(spec) / least) {
+        if shed > 0.0 && chance < shed.powf(worth_for_work(spec) / least) {
             let wait = self.set.max_wait_hint;
             return self.actions.push(Action::Refuse { request: request.clone(), wait });
         }
@@ -144,7 +144,7 @@
         let harmless = match class.effect {
             Effect::Safe => true,
             Effect::Keyed { scope: Scope::All, .. } => true,
-            _ => req.attempts.iter().all(|a| !a.out && !a.may_have_run),
+            _ => req.attempts.iter().all(|a| !a.out && (!a.may_have_run || mutant(RefusedAsHarmless))),
         };
         if class.effect == Effect::Safe {
             self.call_off(seq, None);
--- a/crates/policy/src/router/sends.rs
+++ b/crates/policy/src/router/sends.rs
@@ -15,18 +15,18 @@
         // Rule 1: only an open request, and only while its client waits.
         let in_time = self.now < req.end && req.attempts.len() < self.set.attempts as usize;
         // Rule 2: no second effect, no second copy where there may be none.
-        let alone = self.set.may_overlap || !req.attempts.iter().any(|a| a.out);
+        let alone = self.set.may_overlap || mutant(SecondCopy) || !req.attempts.iter().any(|a| a.out);
         let first_run = req.attempts.iter().find(|a| a.out || a.may_have_run);
         let repeatable = match (class.effect, first_run) {
             (_, None) | (Effect::Safe, _) => true,
-            (Effect::Unsafe, Some(_)) => false,
+            (Effect::Unsafe, Some(_)) => mutant(UnsafeRepeated),
             (Effect::Keyed { window, scope }, Some(first)) => {
                 let same = match scope {
                     Scope::All => true,
                     Scope::Group => self.members.get(&first.member).is_some_and(|m| m.group == member.group),
                     Scope::Zone => first.member == id,
                 };
-                same && self.now + self.set.granularity < first.sent + window
+                same && (self.now + self.set.granularity < first.sent + window || mutant(WindowIgnored))
             }
         };
         // Rule 3: nothing new to a member known to drain or be gone (the grace is not used).
@@ -69,7 +69,9 @@
                 may_have_run: false,
                 reached: false,
             });
-            self.groups.entry(req.group).or_default().waiting.remove(&seq);
+            if !mutant(SecondCopy) {
+                self.groups.entry(req.group).or_default().waiting.remove(&seq);
+            }
         }
         self.actions.push(Action::Send { request, member: id, until });
     }
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -220,3 +220,12 @@
         assert_ne!(sent_to(&stage.ask(&format!("s{n}"), 3, 900 * MS)), Some(1));
     }
 }
+
+// Found by the exhaustive models: without a class that reads, the share refused unsent was 0 to the power of 0.
+#[test]
+fn a_deployment_of_writes_alone_is_served() {
+    let set = settings();
+    let writes: Vec<Class> = set.classes.iter().filter(|class| class.need == Need::Write).cloned().collect();
+    let mut stage = Stage::new(Settings { classes: writes, ..set });
+    assert_eq!(sent_to(&stage.ask("w", 1, 900 * MS)), Some(1));
+}
--- a/crates/sessions/src/coverage.rs
+++ b/crates/sessions/src/coverage.rs
@@ -1,6 +1,6 @@
 //! How far another instance's marks are known here: up to when without a gap, and what lies in the gaps.
 
-use petrelgauge_policy::Time;
+use petrelgauge_policy::{mutant, Mutant, Time};
 
 /// Intervals that wait for a missing one before them.
 const PENDING: usize = 4;
@@ -92,7 +92,9 @@
 
     fn close(&mut self, by: Time) {
         if by > self.until {
-            self.blanket = self.blanket.max(by);
+            if !mutant(Mutant::GapPassed) {
+                self.blanket = self.blanket.max(by);
+            }
             self.until = by;
             self.holes += 1;
         }
--- a/crates/sessions/src/keeper.rs
+++ b/crates/sessions/src/keeper.rs
@@ -10,7 +10,7 @@
 use crate::settings::{Promise, Settings, SettingsError, Told};
 use crate::snapshot::Snapshot;
 use crate::token::{Token, TokenError, FRESH};
-use petrelgauge_policy::{GroupId, Role, Time};
+use petrelgauge_policy::{mutant, GroupId, Mutant, Role, Time};
 use std::collections::BTreeMap;
 
 /// Groups whose marks are exchanged, at most. A read of a further group is asked for all before its arrival.
@@ -130,7 +130,7 @@
             memory: Memory::new(settings.exact, settings.cells, settings.secret),
             set: settings,
             epoch: now,
-            lost: now,
+            lost: if mutant(Mutant::LossForgotten) { 0 } else { now },
             base: 0,
             groups: BTreeMap::new(),
             told_at: now,
@@ -175,6 +175,14 @@
         &self.memory
     }
 
+    /// A group is served here: from now on the others are told of it, also that nothing was made. Without that an
+    /// instance that is quiet in a group would keep all others from ever knowing enough of it.
+    pub fn serve(&mut self, group: GroupId) {
+        if self.due().is_some() {
+            self.group(group);
+        }
+    }
+
     /// The key of a session by its name.
     pub fn key(&self, group: GroupId, name: &str) -> Key {
         Key::new(self.set.secret, group, name)
@@ -261,6 +269,7 @@
         };
         match position {
             Some(position) if position + slack >= floor.need() => Verdict::Proven,
+            _ if mutant(Mutant::BehindGiven) => Verdict::Proven,
             _ => {
                 self.counts.behind += 1;
                 Verdict::Behind
--- a/crates/sessions/src/mark.rs
+++ b/crates/sessions/src/mark.rs
@@ -1,7 +1,7 @@
 //! What a session has seen of a group: the highest commit it was told of, the highest position it read from.
 
 use crate::settings::Promise;
-use petrelgauge_policy::{GroupId, Time};
+use petrelgauge_policy::{mutant, GroupId, Mutant, Time};
 
 /// A session's mark in one group. Clock times of the log in microseconds; 0 where there is none.
 ///
@@ -22,6 +22,9 @@
     /// Both, each at its highest.
     #[must_use]
     pub fn join(self, other: Mark) -> Mark {
+        if mutant(Mutant::MergeLowers) && other != Mark::NONE {
+            return other;
+        }
         let joined = Mark { wrote: self.wrote.max(other.wrote), read: self.read.max(other.read) };
         debug_assert!(joined.covers(self) && joined.covers(other), "a merge never lowers");
         joined
--- a/crates/sessions/src/memory.rs
+++ b/crates/sessions/src/memory.rs
@@ -38,7 +38,7 @@
 
 /// Marks by session. Holds `exact` entries; the one that was used longest ago gives way to the summary, which
 /// keeps its mark (an upper bound of it) and forgets how far that covers.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Memory {
     exact: LruCache<Key, Entry, BuildHasherDefault<KeyHasher>>,
     rest: Sketch,
@@ -46,6 +46,13 @@
     highest_evicted: Mark,
 }
 
+impl std::fmt::Debug for Memory {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_list().entries(self.iter()).finish()?;
+        write!(f, " and {:?}", self.rest)
+    }
+}
+
 impl Memory {
     /// An empty memory for so many sessions, at least one, and a summary with rows of so many cells.
     pub fn new(exact: usize, cells: usize, secret: u64) -> Memory {
--- a/crates/sessions/src/sketch.rs
+++ b/crates/sessions/src/sketch.rs
@@ -10,13 +10,20 @@
 /// highest mark that was put in for it; it is above where in each of its rows another key's higher mark fell on
 /// the same cell. With `n` keys put in and `w` cells a row, of which a share `p` has marks above the one asked
 /// for, that happens to [`false_share`]`(p * n, w)` of the keys.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Sketch {
     cells: Vec<Mark>,
     width: usize,
     seed: u64,
 }
 
+impl std::fmt::Debug for Sketch {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let used = self.cells.iter().enumerate().filter(|(_, mark)| **mark != Mark::NONE);
+        f.debug_map().entries(used).finish()
+    }
+}
+
 impl Sketch {
     /// An empty summary with so many cells in each row, a power of two.
     pub fn new(width: usize, seed: u64) -> Sketch {
