Let the front follow the machine of a client's connection

Need: when a client is closed, cut off, paused or skipped was decided between the arms of the front's selects.

Change: petrelgauge-lifecycle's Client says what follows from each thing that happens; the front hears, tells and does. Spans and pauses moved with it.

--- /dev/null
+++ b/crates/lifecycle/src/client.rs
@@ -0,0 +1,321 @@
+//! The life of a client's connection, from its opening to its end.
+//!
+//! ```text
+//! Opening --Opened--> Idle --Message(Query)--> Asking --Answered--> Idle
+//!    |                 |                          |  \--Answered, unusable--> Pausing --Rested--> Idle
+//!    +-----------------+--- Flawed --> CutOff     +--- Left --> Ended
+//! ```
+//!
+//! What a client has sent goes before every wish to close its connection: whoever tells [`Event::Shed`],
+//! [`Event::Stop`] or [`Event::Due`] says whether something lies there unread, and then it is read first. A connection
+//! with a query open is not closed for age, room or the stop.
+
+use crate::ending::End;
+use petrelgauge_policy::Time;
+
+/// Span in which a client must say who it is (microseconds).
+pub const STARTUP: Time = 2_000_000;
+/// Span without an open query after which a client is closed (microseconds): others need its descriptor.
+pub const IDLE: Time = 2_100_000;
+/// Span in which a message that has begun must be whole (microseconds): a new client is owed a word within 3 s, one
+/// that was served before may be slow.
+pub const WHOLE_NEW: Time = 2_500_000;
+/// The same for a client that has been served.
+pub const WHOLE: Time = 6_000_000;
+/// Pause after a statement that could not be used before the next is read, doubled for each in a row up to the longest
+/// (microseconds): a client that sends the same again at once must not cost the others time.
+pub const FIRST_PAUSE: Time = 1_000;
+/// The longest such pause.
+pub const LONGEST_PAUSE: Time = 64_000;
+
+/// Why a client can be closed to make room. In this order they are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Idleness {
+    /// It has been told why its connection ends, and may still read it.
+    CutOff,
+    /// It has asked for nothing yet.
+    New,
+    /// It has its answers.
+    Answered,
+}
+
+/// Where a connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Stage {
+    /// The client has not said who it is.
+    Opening,
+    /// No query is open.
+    Idle,
+    /// A query is open.
+    Asking,
+    /// A statement could not be used; the next is read after a pause.
+    Pausing {
+        /// Clock time.
+        until: Time,
+    },
+    /// It is told why it ends.
+    CutOff,
+    /// Over.
+    Ended(End),
+}
+
+/// A message, by what it asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// Goodbye.
+    Terminate,
+    /// The end of a row of extended messages.
+    Sync,
+    /// A simple query.
+    Query,
+    /// Parse, Bind, Describe, Execute, Close.
+    Extended,
+    /// A function call.
+    Function,
+    /// Flush, and what belongs to a copy: neither is a sign of use.
+    Harmless,
+    /// None that there is.
+    Unknown,
+}
+
+impl Kind {
+    /// The kind of a message of this type.
+    pub fn of(kind: u8) -> Kind {
+        match kind {
+            b'X' => Kind::Terminate,
+            b'S' => Kind::Sync,
+            b'Q' => Kind::Query,
+            b'P' | b'B' | b'D' | b'E' | b'C' => Kind::Extended,
+            b'F' => Kind::Function,
+            b'H' | b'd' | b'c' | b'f' => Kind::Harmless,
+            _ => Kind::Unknown,
+        }
+    }
+}
+
+/// What a query was of use for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Used {
+    /// A request.
+    Request,
+    /// Something that the gateway answers by itself.
+    Own,
+    /// Nothing: it could not be used.
+    Nothing,
+}
+
+/// What happens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// It asks for encryption.
+    Encryption,
+    /// It wants something cancelled.
+    Cancel,
+    /// It said who it is.
+    Opened,
+    /// A whole message.
+    Message(Kind),
+    /// Its query was answered.
+    Answered(Used),
+    /// The pause is over.
+    Rested,
+    /// What it sent makes no sense, is too much or too long.
+    Flawed(End),
+    /// It has left, or does not take what it is told.
+    Left(End),
+    /// It is asked to make room.
+    Shed {
+        /// Something lies there unread.
+        unread: bool,
+    },
+    /// The gateway stops.
+    Stop {
+        /// Something lies there unread.
+        unread: bool,
+    },
+    /// The time that [`Client::due`] named has come; `begun`: a message has begun and is not whole.
+    Due {
+        /// Something lies there unread.
+        unread: bool,
+        /// A part of a message is there.
+        begun: bool,
+    },
+}
+
+/// What is to be done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Do {
+    /// Wait for what comes next.
+    Wait,
+    /// Decline encryption.
+    Decline,
+    /// Welcome it.
+    Welcome,
+    /// Say that it may go on.
+    Ready,
+    /// Say that this is not served, and that it may go on, if so.
+    Unsupported {
+        /// It may go on at once.
+        ready: bool,
+    },
+    /// Answer its query.
+    Answer,
+    /// Read nothing up to this time.
+    Pause {
+        /// Clock time.
+        until: Time,
+    },
+    /// Say why it is cut off, and let it read that.
+    CutOff {
+        /// Its message is of no kind that there is; else the reason is known to whoever told it.
+        unknown: bool,
+        /// A message did not become whole in time.
+        unfinished: bool,
+    },
+    /// Close it.
+    Close(End),
+}
+
+/// A client's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Client {
+    stage: Stage,
+    idle_by: Time,
+    whole_by: Time,
+    why: Idleness,
+    since: Time,
+    /// After an error in extended queries nothing counts up to Sync.
+    skipping: bool,
+    /// It has sent a statement that could be used.
+    trusted: bool,
+    /// Statements in a row that could not be used.
+    flaws: u32,
+}
+
+impl Client {
+    /// One that has just been accepted.
+    pub fn new(now: Time) -> Client {
+        Client {
+            stage: Stage::Opening,
+            idle_by: now + IDLE,
+            whole_by: now + WHOLE_NEW,
+            why: Idleness::New,
+            since: now,
+            skipping: false,
+            trusted: false,
+            flaws: 0,
+        }
+    }
+
+    /// Where it stands.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Why, and since when, it could be closed to make room.
+    pub fn idleness(&self) -> (Idleness, Time) {
+        (self.why, self.since)
+    }
+
+    /// Clock time at which [`Event::Due`] is to be told while no query is open.
+    pub fn due(&self) -> Time {
+        match self.stage {
+            Stage::Opening => self.since + STARTUP,
+            _ => self.idle_by,
+        }
+    }
+
+    /// Something happened. What does not fit the stage is nothing.
+    pub fn on(&mut self, now: Time, event: Event) -> Do {
+        let to_do = self.next(now, event);
+        self.stage = match to_do {
+            Do::Welcome => Stage::Idle,
+            Do::Answer => Stage::Asking,
+            Do::Pause { until } => Stage::Pausing { until },
+            Do::CutOff { .. } => Stage::CutOff,
+            Do::Close(end) => Stage::Ended(end),
+            Do::Wait | Do::Decline | Do::Ready | Do::Unsupported { .. } => match (self.stage, event) {
+                (Stage::Asking, Event::Answered(_)) | (Stage::Pausing { .. }, Event::Rested) => Stage::Idle,
+                (stage, _) => stage,
+            },
+        };
+        to_do
+    }
+
+    fn next(&mut self, now: Time, event: Event) -> Do {
+        match (self.stage, event) {
+            (Stage::Ended(end), _) => Do::Close(end),
+            (Stage::CutOff, Event::Left(end)) => Do::Close(end),
+            (Stage::CutOff, _) => Do::Wait,
+            (_, Event::Left(end)) => Do::Close(end),
+
+            (Stage::Opening, Event::Encryption) => Do::Decline,
+            // There is nothing to cancel by key: a client that no longer waits closes its connection.
+            (Stage::Opening, Event::Cancel) => Do::Close(End::ClientTerminated),
+            (Stage::Opening, Event::Opened) => Do::Welcome,
+            (Stage::Opening, Event::Due { unread: false, .. }) => Do::Close(End::ClientSilent),
+
+            (Stage::Idle, Event::Message(kind)) => self.message(now, kind),
+            (Stage::Idle, Event::Due { unread: false, begun }) => match begun {
+                false => Do::Close(End::ClientIdle),
+                true if now >= self.whole_by => Do::CutOff { unknown: false, unfinished: true },
+                true => {
+                    self.idle_by = self.whole_by;
+                    Do::Wait
+                }
+            },
+
+            (Stage::Asking, Event::Answered(used)) => self.answered(now, used),
+            (Stage::Pausing { .. }, Event::Rested) => Do::Wait,
+
+            (Stage::Opening | Stage::Idle, Event::Flawed(_)) => {
+                Do::CutOff { unknown: false, unfinished: false }
+            }
+            (Stage::Opening | Stage::Idle, Event::Shed { unread: false }) => Do::Close(End::ClientShed),
+            (Stage::Opening | Stage::Idle, Event::Stop { unread: false }) => Do::Close(End::Stopped),
+            _ => Do::Wait,
+        }
+    }
+
+    fn message(&mut self, now: Time, kind: Kind) -> Do {
+        let to_do = match kind {
+            Kind::Terminate => return Do::Close(End::ClientTerminated),
+            Kind::Sync => {
+                self.skipping = false;
+                Do::Ready
+            }
+            _ if self.skipping => return Do::Wait,
+            Kind::Query => return Do::Answer,
+            Kind::Extended => {
+                self.skipping = true;
+                Do::Unsupported { ready: false }
+            }
+            Kind::Function => Do::Unsupported { ready: true },
+            Kind::Harmless => return Do::Wait,
+            Kind::Unknown => return Do::CutOff { unknown: true, unfinished: false },
+        };
+        self.used(now);
+        to_do
+    }
+
+    fn answered(&mut self, now: Time, used: Used) -> Do {
+        self.trusted |= used == Used::Request;
+        self.used(now);
+        self.flaws = match used {
+            Used::Request => 0,
+            Used::Own => self.flaws,
+            Used::Nothing => (self.flaws + 1).min(16),
+        };
+        match self.flaws {
+            0 => Do::Wait,
+            flaws => Do::Pause { until: now + (FIRST_PAUSE << (flaws - 1)).min(LONGEST_PAUSE) },
+        }
+    }
+
+    fn used(&mut self, now: Time) {
+        (self.since, self.why, self.idle_by) = (now, Idleness::Answered, now + IDLE);
+        if self.trusted {
+            self.whole_by = now + WHOLE;
+        }
+    }
+}
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -4,6 +4,7 @@
 //! | file | whose life | states |
 //! | --- | --- | --- |
 //! | `desk.rs` | requests and attempts before the decision module | open, ended; out, reported |
+//! | `client.rs` | a client's connection | opening, idle, asking, pausing, cut off, ended |
 //! | `asked.rs` | a client's request at the front | waiting, out, ended |
 //! | `exchange.rs` | an attempt on a connection | connecting, greeting, writing, waiting, answering, ended |
 //! | `rest.rs` | a connection between requests | resting, in use, ended |
@@ -32,6 +33,7 @@
 //! ```
 
 pub mod asked;
+pub mod client;
 pub mod desk;
 pub mod ending;
 pub mod exchange;
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -2,6 +2,7 @@
 //! messages.
 
 use crate::Time;
+pub use petrelgauge_lifecycle::client::Idleness;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -31,17 +32,6 @@
 /// Why, and in what order.
 type Place = (Idleness, u64);
 
-/// Why a client can be closed.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Idleness {
-    /// It has been told why its connection ends, and may still read it.
-    CutOff,
-    /// It has asked for nothing yet.
-    New,
-    /// It has its answers.
-    Answered,
-}
-
 impl Budget {
     /// A budget for a process that may hold `sockets` descriptors and `memory` bytes.
     pub fn new(sockets: usize, memory: usize) -> Rc<Budget> {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -13,6 +13,7 @@
 use crate::{Class, Effect, Need, Time};
 use bytes::{Buf, Bytes};
 use petrelgauge_lifecycle::asked::{Asked, Event, Final as Last};
+use petrelgauge_lifecycle::client::{Client, Do, Event as Happens, Kind, Stage, Used};
 use std::cell::RefCell;
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -22,24 +23,12 @@
 use tokio::sync::{watch, Notify};
 use tokio::task::JoinHandle;
 
-/// Span in which a client must say who it is (microseconds).
-const STARTUP: Time = 2_000_000;
-/// Span without an open query after which a client is closed (microseconds): others need its descriptor.
-const IDLE: Time = 2_100_000;
-/// Span in which a message that has begun must be whole (microseconds): a new client is owed a word within 3 s,
-/// one that was served before may be slow.
-const WHOLE_NEW: Time = 2_500_000;
-const WHOLE: Time = 6_000_000;
 /// Span in which a query that is open may still be answered when bytes behind it made no sense (microseconds).
 const GRACE: Time = 1_000_000;
 /// Span after a request's end in which its client must have taken the answer (microseconds).
 const TAKING: Time = 2_000_000;
 /// Span in which a client that is cut off may send to the end and read the reason (microseconds).
 const LINGER: Time = 1_000_000;
-/// Pause after a statement that could not be used before the next is read, doubled for each in a row up to
-/// the longest (microseconds): a client that sends the same again at once must not cost the others time.
-const FIRST_PAUSE: Time = 1_000;
-const LONGEST_PAUSE: Time = 64_000;
 /// Queries, and bytes of them, that may wait while one is being answered.
 const AHEAD: usize = 64;
 const AHEAD_BYTES: usize = 2 * pg::MOST;
@@ -116,9 +105,7 @@
             writer,
             shed: Rc::new(Notify::new()),
             stopping: self.stopping.clone(),
-            flaws: 0,
             marks: VecDeque::new(),
-            trusted: false,
         };
         let end = session.run(number).await;
         log::debug!("client {number} ended: {end:?}");
@@ -184,6 +171,8 @@
 
 const TOO_MANY: Flaw = Flaw { end: End::ClientLarge, code: "54000", text: "too many queries at once" };
 const TOO_MUCH: Flaw = Flaw { end: End::ClientLarge, code: "53200", text: "out of memory" };
+const UNKNOWN: Flaw =
+    Flaw { end: End::ClientMalformed, code: "08P01", text: "invalid frontend message type" };
 const UNFINISHED: Flaw = Flaw { end: End::ClientSilent, code: "08P01", text: "message not whole in time" };
 
 impl<'a> Inbox<'a> {
@@ -278,6 +267,31 @@
         }
     }
 
+    /// What the client sent next. May be cancelled without loss.
+    async fn hear(&mut self, stage: Stage) -> Heard {
+        let heard = if stage == Stage::Opening {
+            self.opening().await.map(|opened| {
+                opened.map(|opening| match opening {
+                    Opening::Encryption => Happens::Encryption.into(),
+                    Opening::Cancel => Happens::Cancel.into(),
+                    Opening::Startup { minor } => Heard { minor, ..Happens::Opened.into() },
+                })
+            })
+        } else {
+            self.next().await.map(|next| {
+                let (message, at) = next?;
+                let kind = Kind::of(message.kind());
+                let query = if kind == Kind::Query { Some((message.text()?, at)) } else { None };
+                Ok(Heard { query, ..Happens::Message(kind).into() })
+            })
+        };
+        match heard {
+            Ok(Ok(heard)) => heard,
+            Ok(Err(flaw)) => Heard { flaw: Some(flaw), ..Happens::Flawed(flaw.end).into() },
+            Err(end) => Happens::Left(end).into(),
+        }
+    }
+
     /// Reads ahead until the client leaves, or what it sent must be answered with its end. May be cancelled
     /// without loss.
     async fn left(&mut self) -> End {
@@ -296,6 +310,22 @@
     }
 }
 
+/// Something that happened, with what it brought.
+struct Heard {
+    event: Happens,
+    /// A query's text, and when it was read.
+    query: Option<(Bytes, Time)>,
+    /// The protocol's minor version that was asked for.
+    minor: u16,
+    flaw: Option<Flaw>,
+}
+
+impl From<Happens> for Heard {
+    fn from(event: Happens) -> Heard {
+        Heard { event, query: None, minor: 0, flaw: None }
+    }
+}
+
 /// Waits until a flaw must be answered, if there is one.
 async fn due(clock: Clock, flaw: Option<(Flaw, Time)>) {
     match flaw {
@@ -315,12 +345,8 @@
     writer: WriteHalf<'a>,
     shed: Rc<Notify>,
     stopping: watch::Receiver<bool>,
-    /// Statements in a row that could not be used.
-    flaws: u32,
     /// Session tokens that it set, by group; the oldest gives way.
     marks: VecDeque<String>,
-    /// It has sent a statement that could be used.
-    trusted: bool,
 }
 
 impl Session<'_> {
@@ -330,111 +356,74 @@
         }
     }
 
+    /// Tells the connection's life what happens and does what it says, until it ends.
     async fn talk(&mut self, number: u32) -> Result<End, End> {
-        let front = self.front.clone();
-        let clock = front.clock;
-        let began = clock.now();
-        let (mut stopping, shed) = (self.stopping.clone(), self.shed.clone());
-        let opened = {
-            let _idle = front.budget.idle(Idleness::New, began, &shed);
-            tokio::select! {
-                biased;
-                opened = self.open(number) => opened?,
-                () = shed.notified() => return Ok(End::ClientShed),
-                _ = stopping.wait_for(|stopping| *stopping) => return Ok(End::Stopped),
-                () = clock.sleep_until(began + STARTUP) => return Ok(End::ClientSilent),
-            }
-        };
-        if let Some(end) = opened {
-            return Ok(end);
-        }
-        let (mut idle_by, mut whole_by) = (began + IDLE, began + WHOLE_NEW);
-        let (mut why, mut since, mut skipping) = (Idleness::New, began, false);
+        let clock = self.front.clock;
+        let mut life = Client::new(clock.now());
         loop {
-            let next = {
-                let _idle = front.budget.idle(why, since, &shed);
-                tokio::select! {
-                    biased;
-                    next = self.inbox.next() => next?,
-                    () = shed.notified() => return Ok(End::ClientShed),
-                    _ = stopping.wait_for(|stopping| *stopping) => return Ok(End::Stopped),
-                    () = clock.sleep_until(idle_by) => match self.inbox.framer.is_empty() {
-                        true => return Ok(End::ClientIdle),
-                        false if clock.now() >= whole_by => Err(UNFINISHED),
-                        false => {
-                            idle_by = whole_by;
-                            continue;
-                        }
-                    },
-                }
-            };
-            let (message, at) = match next {
-                Ok(next) => next,
-                Err(flaw) => return self.cut_off(flaw).await,
-            };
-            match message.kind() {
-                b'X' => return Ok(End::ClientTerminated),
-                b'S' => {
-                    skipping = false;
-                    let mut out = Vec::new();
-                    pg::put_ready(&mut out);
-                    self.write(&out[..], clock.now()).await?;
-                }
-                // After an error in extended queries nothing counts up to Sync.
-                _ if skipping => continue,
-                b'Q' => match message.text() {
-                    Ok(text) => match self.query(text, at).await {
-                        // Its time to be answered is over, and so are those behind it.
-                        Err(end) if self.inbox.flaw.is_some_and(|(flaw, _)| flaw.end == end) => {}
-                        ended => ended?,
-                    },
-                    Err(flaw) => return self.cut_off(flaw.into()).await,
-                },
-                b'P' | b'B' | b'D' | b'E' | b'C' => {
-                    skipping = true;
-                    let mut out = Vec::new();
-                    put_unsupported(&mut out);
-                    self.write(&out[..], clock.now()).await?;
-                }
-                b'F' => {
-                    let mut out = Vec::new();
+            let heard = self.hear(&life).await;
+            let mut out = Vec::new();
+            let mut to_do = life.on(clock.now(), heard.event);
+            if to_do == Do::Answer {
+                let (text, at) = heard.query.unwrap_or_default();
+                let event = match self.query(text, at).await {
+                    Ok(used) => Happens::Answered(used),
+                    // Its time to be answered is over, and so are those behind it.
+                    Err(end) if self.flawed(end) => Happens::Answered(Used::Request),
+                    Err(end) => Happens::Left(end),
+                };
+                to_do = life.on(clock.now(), event);
+            }
+            match to_do {
+                Do::Wait | Do::Answer | Do::Pause { .. } => continue,
+                Do::Close(end) => return Ok(end),
+                Do::CutOff { unfinished: true, .. } => return self.cut_off(UNFINISHED).await,
+                Do::CutOff { .. } => return self.cut_off(heard.flaw.unwrap_or(UNKNOWN)).await,
+                Do::Decline => out.push(b'N'),
+                Do::Welcome => pg::put_welcome(&mut out, heard.minor, number),
+                Do::Ready => pg::put_ready(&mut out),
+                Do::Unsupported { ready } => {
                     put_unsupported(&mut out);
-                    pg::put_ready(&mut out);
-                    self.write(&out[..], clock.now()).await?;
+                    if ready {
+                        pg::put_ready(&mut out);
+                    }
                 }
-                // Flush has nothing to push; what belongs to a copy is passed over outside of one. Neither is
-                // a sign of use.
-                b'H' | b'd' | b'c' | b'f' => continue,
-                _ => return self.cut_off(pg::Malformed("invalid frontend message type").into()).await,
-            }
-            (since, why) = (clock.now(), Idleness::Answered);
-            idle_by = since + IDLE;
-            if self.trusted {
-                whole_by = since + WHOLE;
             }
+            self.write(&out[..], clock.now()).await?;
         }
     }
 
-    /// Admits the client, or says how its connection ends.
-    async fn open(&mut self, number: u32) -> Result<Option<End>, End> {
-        loop {
-            let mut out = Vec::new();
-            match self.inbox.opening().await? {
-                Ok(Opening::Encryption) => {
-                    self.write(&b"N"[..], self.front.clock.now()).await?;
-                }
-                // There is nothing to cancel by key: a client that no longer waits closes its connection.
-                Ok(Opening::Cancel) => return Ok(Some(End::ClientTerminated)),
-                Ok(Opening::Startup { minor }) => {
-                    pg::put_welcome(&mut out, minor, number);
-                    self.write(&out[..], self.front.clock.now()).await?;
-                    return Ok(None);
-                }
-                Err(flaw) => return self.cut_off(flaw).await.map(Some),
+    /// Waits for what happens next. What the client sent goes before every reason to close.
+    async fn hear(&mut self, life: &Client) -> Heard {
+        let (front, shed, mut stopping) = (self.front.clone(), self.shed.clone(), self.stopping.clone());
+        let clock = front.clock;
+        if let Stage::Pausing { until } = life.stage() {
+            return tokio::select! {
+                () = clock.sleep_until(until) => Happens::Rested.into(),
+                end = self.inbox.left() => match self.flawed(end) {
+                    true => Happens::Rested.into(),
+                    false => Happens::Left(end).into(),
+                },
+            };
+        }
+        let (why, since) = life.idleness();
+        let _idle = front.budget.idle(why, since, &shed);
+        tokio::select! {
+            biased;
+            heard = self.inbox.hear(life.stage()) => heard,
+            () = shed.notified() => Happens::Shed { unread: false }.into(),
+            _ = stopping.wait_for(|stopping| *stopping) => Happens::Stop { unread: false }.into(),
+            () = clock.sleep_until(life.due()) => {
+                Happens::Due { unread: false, begun: !self.inbox.framer.is_empty() }.into()
             }
         }
     }
 
+    /// The connection is to end so, since what came on it made no sense.
+    fn flawed(&self, end: End) -> bool {
+        self.inbox.flaw.is_some_and(|(flaw, _)| flaw.end == end)
+    }
+
     /// Says why the connection ends, and ends it.
     async fn cut_off(&mut self, flaw: Flaw) -> Result<End, End> {
         let mut out = Vec::new();
@@ -463,42 +452,30 @@
         }
     }
 
-    async fn query(&mut self, text: Bytes, at: Time) -> Result<(), End> {
-        let mut out = Vec::new();
-        if text.iter().all(|byte| byte.is_ascii_whitespace() || *byte == b';') {
+    /// Answers a query, and says what it was of use for.
+    async fn query(&mut self, text: Bytes, at: Time) -> Result<Used, End> {
+        let (mut out, mut used) = (Vec::new(), Used::Own);
+        let flawed = if text.iter().all(|byte| byte.is_ascii_whitespace() || *byte == b';') {
             pg::put_empty(&mut out);
+            None
         } else if let Some(setting) = set::read(&text) {
-            match self.set(setting) {
-                Ok(tag) => pg::put_complete(&mut out, tag),
-                Err((code, cause)) => {
-                    self.front.counters.bad_statements.add();
-                    pg::put_error(&mut out, Severity::Error, code, &cause, None);
-                }
-            }
+            self.set(setting).map(|tag| pg::put_complete(&mut out, tag)).err()
         } else {
             match self.read_statement(&text, at) {
-                Ok(taken) => {
-                    (self.flaws, self.trusted) = (0, true);
-                    return self.answer(taken).await;
-                }
-                Err((code, cause)) => {
-                    self.front.counters.bad_statements.add();
-                    pg::put_error(&mut out, Severity::Error, code, &cause, None);
-                    self.flaws = (self.flaws + 1).min(16);
+                Ok(taken) => return self.answer(taken).await.map(|()| Used::Request),
+                Err(flawed) => {
+                    used = Used::Nothing;
+                    Some(flawed)
                 }
             }
+        };
+        if let Some((code, cause)) = flawed {
+            self.front.counters.bad_statements.add();
+            pg::put_error(&mut out, Severity::Error, code, &cause, None);
         }
         pg::put_ready(&mut out);
         self.write(&out[..], at).await?;
-        if self.flaws > 0 {
-            let pause = (FIRST_PAUSE << (self.flaws - 1)).min(LONGEST_PAUSE);
-            let over = self.front.clock.now() + pause;
-            tokio::select! {
-                () = self.front.clock.sleep_until(over) => {}
-                end = self.inbox.left() => return Err(end),
-            }
-        }
-        Ok(())
+        Ok(used)
     }
 
     /// Carries out what may be set here: the session's tokens. All other settings have no effect.
