Give the gateway's own life a machine and a model: reload and SIGTERM with requests open

Need: the stop and the reload were an order of awaits in main.rs, which no model could play.

Change: petrelgauge-lifecycle's Gateway (serving, last clients, closing, ended); main.rs tells and does.

--- a/crates/lifecycle/src/client.rs
+++ b/crates/lifecycle/src/client.rs
@@ -11,7 +11,7 @@
 //! with a query open is not closed for age, room or the stop.
 
 use crate::ending::End;
-use petrelgauge_policy::Time;
+use petrelgauge_policy::{mutant, Mutant, Time};
 
 /// Span in which a client must say who it is (microseconds).
 pub const STARTUP: Time = 2_000_000;
@@ -265,6 +265,8 @@
                 }
             },
 
+            (Stage::Asking, Event::Stop { .. }) if mutant(Mutant::ClosedWhileOwed) => Do::Close(End::Stopped),
+            (Stage::Idle, Event::Stop { .. }) if mutant(Mutant::ClosedUnread) => Do::Close(End::Stopped),
             (Stage::Asking, Event::Answered(used)) => self.answered(now, used),
             (Stage::Pausing { .. }, Event::Rested) => Do::Wait,
 
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -8,6 +8,7 @@
 //! | `asked.rs` | a client's request at the front | waiting, out, ended |
 //! | `exchange.rs` | an attempt on a connection | connecting, greeting, writing, waiting, answering, ended |
 //! | `rest.rs` | a connection between requests | resting, in use, ended |
+//! | `gateway.rs` | the gateway | serving, last clients, closing, ended |
 //! | `verdict.rs` | what a host's answer says of an attempt | |
 //! | `ending.rs` | every way in which a connection or an attempt can end | |
 //!
@@ -37,5 +38,6 @@
 pub mod desk;
 pub mod ending;
 pub mod exchange;
+pub mod gateway;
 pub mod rest;
 pub mod verdict;
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,7 @@
 use petrelgauge::net::peers::Peers;
 use petrelgauge::net::room::Room;
 use petrelgauge::{Class, Need, Time};
+use petrelgauge_lifecycle::gateway::{Do, Event, Gateway, Stage};
 use petrelgauge_sessions::{Keeper, SettingsError};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -22,8 +23,6 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-/// After SIGTERM clients are accepted for this span: the front learns of it only then (microseconds).
-const LAST_CLIENTS: Time = 450_000;
 /// Between two looks for idle connections that are of no more use, for clients that are too many, and at what is
 /// still open at the end.
 const SWEEP: Time = 500_000;
@@ -77,6 +76,7 @@
     );
     let (discovery, moved) = watch::channel(config.discovery);
 
+    let mut reloaded: Result<SocketAddr, String> = Err(String::new());
     let mut tasks = JoinSet::new();
     tasks.spawn_local(follower.follow(moved));
     tasks.spawn_local(keep_time(facade.clone(), clock));
@@ -105,22 +105,43 @@
     tasks.spawn_local(front.clone().accept(listener));
     log::info!("{} serves at {}", config.name, config.listen);
 
+    let mut life = Gateway::default();
     loop {
-        tokio::select! {
-            _ = usr1.recv() => print(&counters),
-            _ = hangup.recv() => reload(&discovery, &counters),
-            _ = term.recv() => break,
-            _ = interrupt.recv() => break,
+        let due = life.due();
+        let event = tokio::select! {
+            _ = usr1.recv() => {
+                print(&counters);
+                continue;
+            }
+            _ = hangup.recv() => match Config::reread(|name| std::env::var(name).ok()) {
+                Ok(config) => {
+                    reloaded = Ok(config.discovery);
+                    Event::Reload { usable: true }
+                }
+                Err(cause) => {
+                    reloaded = Err(cause);
+                    Event::Reload { usable: false }
+                }
+            },
+            _ = term.recv() => Event::Stop,
+            _ = interrupt.recv() => Event::Stop,
+            () = clock.sleep_until(due.unwrap_or_default()), if due.is_some() => Event::Due,
+            () = clock.sleep_until(clock.now() + LOOK), if life.stage() == Stage::Closing => {
+                Event::Held { clients: front.open.get(), attempts: hosts.out() }
+            }
             // None of them ends by itself. Without one the gateway would go on and serve nobody.
-            Some(ended) = tasks.join_next() => return Err(format!("a task ended: {ended:?}")),
+            Some(ended) = tasks.join_next(), if life.stage() == Stage::Serving => {
+                return Err(format!("a task ended: {ended:?}"));
+            }
+        };
+        match life.on(clock.now(), event) {
+            Do::Wait if event == Event::Stop => log::info!("stopping"),
+            Do::Wait => {}
+            Do::Take | Do::Keep => reload(&reloaded, &discovery, &counters),
+            Do::Close => drop(stop.send(true)),
+            Do::End => break,
         }
     }
-    log::info!("stopping");
-    clock.sleep_until(clock.now() + LAST_CLIENTS).await;
-    let _ = stop.send(true);
-    while front.open.get() > 0 || hosts.out() > 0 {
-        clock.sleep_until(clock.now() + LOOK).await;
-    }
     print(&counters);
     Ok(())
 }
@@ -165,15 +186,14 @@
     signal(kind).map_err(|cause| format!("cannot listen to signals: {cause}"))
 }
 
-/// Reads the configuration again. Only the address of discovery may move while the gateway runs; a file that
-/// cannot be used changes nothing.
-fn reload(discovery: &watch::Sender<SocketAddr>, counters: &Counters) {
-    match Config::reread(|name| std::env::var(name).ok()) {
-        Ok(config) => {
+/// The configuration was read again. Only the address of discovery may move while the gateway runs; a file that cannot
+/// be used changes nothing.
+fn reload(read: &Result<SocketAddr, String>, discovery: &watch::Sender<SocketAddr>, counters: &Counters) {
+    match read {
+        Ok(address) => {
             counters.reloads.add();
-            log::info!("configuration read again, discovery is at {}", config.discovery);
-            discovery
-                .send_if_modified(|address| std::mem::replace(address, config.discovery) != config.discovery);
+            log::info!("configuration read again, discovery is at {address}");
+            discovery.send_if_modified(|known| std::mem::replace(known, *address) != *address);
         }
         Err(cause) => {
             counters.bad_configs.add();
