--- a/crates/models/src/check.rs
+++ b/crates/models/src/check.rs
@@ -31,11 +31,6 @@
     fn broken_at_end(&self) -> Option<&'static str> {
         None
     }
-
-    /// Transitions of the code's machines that were taken so far, by name.
-    fn taken(&self) -> Vec<String> {
-        Vec::new()
-    }
 }
 
 /// A state, told apart by all that it holds.
