List the transitions of an attempt that the models take, and bar one that must not be

Need: a property that holds proves little of a transition that no run takes.

Change: the transitions are read off the machine and compared with those taken; the model of a connection has the greeting's errors, want of memory, spoilt and late answers. A missing transition fails the run and the test.

Found: an attempt could be told as never tried in any stage, also when its request had been written; now only while it connects.

--- a/crates/lifecycle/src/exchange.rs
+++ b/crates/lifecycle/src/exchange.rs
@@ -157,7 +157,7 @@
             (Ended(end), _) => Ended(end),
             // It was called off; whether it ran is not known.
             (_, Event::CalledOff) => Ended(End::CalledOff),
-            (_, Event::NotTried(end)) => Ended(end),
+            (Connecting { .. }, Event::NotTried(end)) => Ended(end),
 
             (Connecting { by }, Event::Connected) => Greeting { by },
             (Connecting { .. }, Event::Refused) => Ended(End::ConnectRefused),
--- a/crates/models/src/connection.rs
+++ b/crates/models/src/connection.rs
@@ -3,6 +3,7 @@
 //! world's.
 
 use crate::check::{check, Report, World};
+use crate::coverage::took;
 use crate::Size;
 use petrelgauge_lifecycle::ending::End;
 use petrelgauge_lifecycle::exchange::{Away, Event, Exchange, Stage};
@@ -44,8 +45,21 @@
     Goes,
     /// The connection is refused, or breaks.
     Breaks,
+    /// There is no descriptor for it, or no memory for what is read.
+    Lacks,
+    /// The host turns the connection away, or sends what makes no sense for a greeting.
+    Unwelcome {
+        /// With an error of its own.
+        turned_away: bool,
+    },
+    /// It connects, is ready or answers at the very limit.
+    GoesLate,
     /// The host writes the beginning of an answer.
     Begins,
+    /// The same, so late that the attempt's time is over before the answer must be whole.
+    BeginsLate,
+    /// The host answers with what makes no sense.
+    Spoils,
     /// The host answers; `tells`: with its position.
     Answers {
         /// With its position.
@@ -131,7 +145,9 @@
     /// Tells the attempt, puts its connection away and reports it when it has ended.
     fn tell(&mut self, event: Event) {
         let Some((request, mut life, line)) = self.attempt.take() else { return };
+        let before = life.stage();
         life.on(self.now, event);
+        took(before, event, life.stage());
         if life.ended().is_none() {
             self.attempt = Some((request, life, line));
             return;
@@ -209,6 +225,16 @@
             }
             Some(stage) => {
                 moves.extend([Move::CallOff, Move::Due]);
+                if stage != Stage::Writing {
+                    moves.push(Move::Lacks);
+                }
+                if matches!(stage, Stage::Greeting { .. }) {
+                    moves.extend([
+                        Move::Unwelcome { turned_away: true },
+                        Move::Unwelcome { turned_away: false },
+                    ]);
+                    moves.push(Move::GoesLate);
+                }
                 if !matches!(stage, Stage::Waiting | Stage::Answering { .. }) {
                     moves.extend([Move::Goes, Move::Breaks]);
                 } else if line.is_some_and(|line| line.unread.is_empty()) {
@@ -224,8 +250,9 @@
             if line.unread.len() < 2 {
                 if !line.owed.is_empty() {
                     moves.extend([Move::Answers { tells: true }, Move::Answers { tells: false }]);
+                    moves.push(Move::Spoils);
                     if !line.unread.contains(&Bytes::Part) && !self.began {
-                        moves.push(Move::Begins);
+                        moves.extend([Move::Begins, Move::BeginsLate]);
                     }
                 }
                 if let Some((_, tells, at)) = line.wrote {
@@ -252,6 +279,17 @@
             Move::Send => self.begin(),
             Move::Waits(span) => (self.now, self.waited) = (now + span, true),
             Move::CallOff => self.tell(Event::CalledOff),
+            Move::Lacks => {
+                let connecting = matches!(self.stage(), Some(Stage::Connecting { .. }));
+                self.tell(if connecting { Event::NotTried(End::NoDescriptor) } else { Event::NoMemory });
+            }
+            Move::Unwelcome { turned_away: true } => self.tell(Event::TurnedAway(End::Full)),
+            Move::Unwelcome { turned_away: false } => self.tell(Event::Malformed),
+            Move::GoesLate => {
+                // The time of the whole attempt is over when the host is ready: the loop was held up.
+                self.now = self.now.max(1_000_000 + UNTIL) + UNTIL;
+                self.tell(Event::Greeted);
+            }
             Move::Due => {
                 self.now = self.due().max(now);
                 self.tell(Event::Due);
@@ -283,7 +321,16 @@
                 let refused = matches!(self.stage(), Some(Stage::Connecting { .. }));
                 self.tell(if refused { Event::Refused } else { Event::Broke });
             }
-            Move::Begins => {
+            Move::Spoils => {
+                if let Some(line) = self.line() {
+                    line.owed.remove(0);
+                    line.unread.push(Bytes::Noise);
+                }
+            }
+            Move::Begins | Move::BeginsLate => {
+                if *event == Move::BeginsLate {
+                    self.now = self.due().max(now + 100_000) - 100_000;
+                }
                 if let Some(line) = self.line() {
                     line.unread.push(Bytes::Part);
                 }
@@ -346,7 +393,15 @@
                 _ => "the request is written whole".into(),
             },
             Move::Breaks => "the connection breaks or is refused".into(),
+            Move::Lacks => "there is no descriptor, or no memory, for it".into(),
+            Move::Unwelcome { turned_away: true } => "the host turns the connection away".into(),
+            Move::Unwelcome { turned_away: false } => "the host sends what is no greeting".into(),
+            Move::GoesLate => "the host is ready when the time is over".into(),
             Move::Begins => "the host writes the beginning of an answer".into(),
+            Move::BeginsLate => {
+                "the host writes the beginning of an answer when the time is nearly over".into()
+            }
+            Move::Spoils => "the host answers with what makes no sense".into(),
             Move::Answers { tells: true } => "the host answers and tells its position".into(),
             Move::Answers { tells: false } => "the host answers and tells no position".into(),
             Move::Copies => "the host writes its last answer once more".into(),
--- /dev/null
+++ b/crates/models/src/coverage.rs
@@ -0,0 +1,68 @@
+//! Which transitions of the machine of an attempt the models take, against all that it has: those are read off the
+//! machine itself, by telling it every event in every stage, before its limits and at them.
+
+use petrelgauge_lifecycle::ending::End;
+use petrelgauge_lifecycle::exchange::{Event, Exchange, Stage};
+use petrelgauge_policy::Time;
+use std::collections::BTreeSet;
+use std::sync::Mutex;
+
+static TAKEN: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+
+fn name(before: Stage, event: Event, after: Stage) -> Option<String> {
+    let word = |text: String| text.split([' ', '{', '(']).next().unwrap_or("").to_string();
+    let stage = |stage: Stage| match stage {
+        Stage::Ended(end) => format!("{end:?}"),
+        other => word(format!("{other:?}")),
+    };
+    let told = match event {
+        Event::Answered { copy: true, .. } => "Answered, a copy".to_string(),
+        other => word(format!("{other:?}")),
+    };
+    (before != after).then(|| format!("{} --{told}--> {}", stage(before), stage(after)))
+}
+
+/// A machine was told an event.
+pub fn took(before: Stage, event: Event, after: Stage) {
+    if let (Some(name), Ok(mut taken)) = (name(before, event, after), TAKEN.lock()) {
+        taken.insert(name);
+    }
+}
+
+/// All transitions that the machine has, and of these the ones that no model has taken in this process.
+pub fn missing() -> (BTreeSet<String>, Vec<String>) {
+    let (now, by, until): (Time, Time, Time) = (1_000, 200_000, 900_000);
+    let path = [Event::Connected, Event::Greeted, Event::Written, Event::Began];
+    let answered = |copy| Event::Answered { end: End::Served, copy };
+    let events = [
+        Event::Connected,
+        Event::Refused,
+        Event::NotTried(End::NoDescriptor),
+        Event::Greeted,
+        Event::TurnedAway(End::Full),
+        Event::Written,
+        Event::Began,
+        answered(false),
+        answered(true),
+        Event::Malformed,
+        Event::Broke,
+        Event::NoMemory,
+        Event::CalledOff,
+        Event::Due,
+    ];
+    let mut all = BTreeSet::new();
+    for reached in 0..=path.len() {
+        for event in events {
+            for at in [now, by, now + 400_000, until] {
+                let mut one = Exchange::new(false, now, by, until);
+                path[..reached].iter().for_each(|event| one.on(now, *event));
+                let before = one.stage();
+                one.on(at, event);
+                all.extend(name(before, event, one.stage()));
+            }
+        }
+    }
+    let taken = TAKEN.lock().map(|taken| taken.clone()).unwrap_or_default();
+    let missing = all.difference(&taken).cloned().collect();
+    (all, missing)
+}
--- a/crates/models/src/lib.rs
+++ b/crates/models/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `connection.rs` | one connection that is used again: model `connection` |
 //! | `stop.rs` | SIGTERM and reload with requests open: model `stop` |
 //! | `marks.rs` | sessions' marks between two instances: model `marks` |
+//! | `coverage.rs` | the transitions that the models take, against those that there are |
 //! | `check.rs` | the checker, its report, and how a run is told and replayed |
 //!
 //! The bugs of [`petrelgauge_policy::Mutant`] are compiled in here and nowhere else.
@@ -18,6 +19,7 @@
 pub mod attempts;
 pub mod check;
 pub mod connection;
+pub mod coverage;
 pub mod marks;
 pub mod stop;
 
--- a/crates/models/src/main.rs
+++ b/crates/models/src/main.rs
@@ -79,6 +79,13 @@
             }
         }
     }
+    if arguments.mutant.is_none() && arguments.model.is_none() {
+        let (all, missing) = petrelgauge_models::coverage::missing();
+        println!("transitions of an attempt: {} of {} taken", all.len() - missing.len(), all.len());
+        all.iter()
+            .for_each(|one| println!("  {} {one}", if missing.contains(one) { "MISSING" } else { "taken" }));
+        sound &= missing.is_empty();
+    }
     Ok(sound)
 }
 
--- a/crates/models/tests/models.rs
+++ b/crates/models/tests/models.rs
@@ -11,6 +11,8 @@
         assert_eq!(report.broken, None, "{}: {:#?}", model.name, report.story);
         assert!(report.complete() && report.unique > 500, "{}: {} states", model.name, report.unique);
     }
+    let (all, missing) = petrelgauge_models::coverage::missing();
+    assert!(all.len() > 25 && missing.is_empty(), "of {} transitions none takes {missing:#?}", all.len());
     for bug in Mutant::ALL {
         let model = MODELS.iter().find(|model| model.name == finder(bug)).expect("a model for each");
         plant(Some(bug));
