Keep every token that a client sets, and no place for members long gone

Cause: SET with several tokens of one cluster kept only the last, and past sixteen the oldest was dropped unseen: either lowers a floor, which may follow with a stale read. Found on reading the change again; no test set two. The highest position told by a member was kept again when a late answer came after the list had dropped it.

Change: the tokens of a connection are a wallet in petrelgauge-sessions; one too many is a 22023. The desk keeps positions of listed members alone.

Measured: the new test fails with the old rule (the last token alone was held); all tests pass.

--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -9,7 +9,9 @@
 //! never if the session of the request would find it too old.
 
 use petrelgauge_policy::*;
-use petrelgauge_sessions::{BulletinError, Counts, Floor, Keeper, Key, Snapshot, Token, TokenError, Verdict};
+use petrelgauge_sessions::{
+    BulletinError, Counts, Floor, Keeper, Key, Snapshot, Token, TokenError, Verdict, Wallet,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A request, in no protocol's words.
@@ -119,6 +121,8 @@
     open: BTreeMap<RequestId, Open>,
     out: BTreeSet<(RequestId, u32)>,
     groups: BTreeSet<GroupId>,
+    /// Members that the list names.
+    listed: BTreeSet<MemberId>,
     /// Classes, by place, that carry sessions and that write.
     carrying: Vec<bool>,
     writes: Vec<bool>,
@@ -168,6 +172,7 @@
             open: BTreeMap::new(),
             out: BTreeSet::new(),
             groups: BTreeSet::new(),
+            listed: BTreeSet::new(),
             keeper,
             unsure: Vec::new(),
             told: BTreeMap::new(),
@@ -189,10 +194,10 @@
         self.carrying.contains(&true)
     }
 
-    /// The group that a token is for, if it can be used here.
-    pub fn group_of(&self, token: &str) -> Result<GroupId, TokenError> {
+    /// Puts what a client set into its wallet.
+    pub fn set_tokens(&self, wallet: &mut Wallet, text: &str) -> Result<(), TokenError> {
         let keeper = self.keeper.as_ref().filter(|keeper| keeper.settings().tokens).ok_or(TokenError::Off)?;
-        Token::read(token, keeper.settings().secret).map(|token| token.key.group)
+        wallet.set(text, keeper.settings().secret)
     }
 
     /// The visit of a session, with what its client brought of it. An unusable token is an error.
@@ -283,15 +288,19 @@
     pub fn list(&mut self, whole: bool, entries: Vec<Entry>) {
         if whole {
             self.groups.clear();
+            self.listed.clear();
         }
         self.groups.extend(entries.iter().map(|entry| entry.group));
         if let Some(keeper) = &mut self.keeper {
             self.groups.iter().for_each(|group| keeper.serve(*group));
         }
-        let gone = |entry: &&Entry| entry.standing == Standing::Gone;
-        let left: Vec<MemberId> = entries.iter().filter(gone).map(|entry| entry.member).collect();
-        let named: BTreeSet<MemberId> = entries.iter().map(|entry| entry.member).collect();
-        self.told.retain(|id, _| !left.contains(id) && (!whole || named.contains(id)));
+        for entry in &entries {
+            match entry.standing {
+                Standing::Gone => self.listed.remove(&entry.member),
+                Standing::Up | Standing::Draining => self.listed.insert(entry.member),
+            };
+        }
+        self.told.retain(|id, _| self.listed.contains(id));
         self.queue.push(Event::List { whole, entries: entries.into() });
     }
 
@@ -388,9 +397,9 @@
             // Its data were too old: as if the member had turned the read away by itself.
             outcome.ending = Ending::TurnedAway;
         }
-        if let (Some(position), Some(Role::Replica), true) =
-            (outcome.position, outcome.role, self.keeper.is_some())
-        {
+        // A late word of a member that is gone must not keep a place for it.
+        let kept = self.keeper.is_some() && self.listed.contains(&send.host);
+        if let (Some(position), Some(Role::Replica), true) = (outcome.position, outcome.role, kept) {
             let told = self.told.entry(send.host).or_default();
             *told = position.max(*told);
         }
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -12,7 +12,7 @@
 //! | `mark.rs` | a session's mark and its merge, which never lowers |
 //! | `keeper.rs` | what a read needs, what an answer proves |
 //! | `memory.rs`, `sketch.rs` | marks of recent sessions exactly, of the others as a bound |
-//! | `token.rs` | the client's copy of a mark |
+//! | `token.rs`, `wallet.rs` | the client's copy of a mark, and those set for a connection |
 //! | `bulletin.rs`, `outbox.rs`, `coverage.rs` | what instances tell each other, and where gaps are |
 //! | `snapshot.rs` | what survives a restart |
 //! | `settings.rs` | what an operator sets |
@@ -60,6 +60,7 @@
 mod sketch;
 mod snapshot;
 mod token;
+mod wallet;
 
 pub use bulletin::{Bulletin, BulletinError, MOST_BYTES, MOST_LINES};
 pub use coverage::Coverage;
@@ -71,3 +72,4 @@
 pub use sketch::{false_share, Sketch, ROWS};
 pub use snapshot::Snapshot;
 pub use token::{Token, TokenError, FRESH};
+pub use wallet::{Wallet, MOST_SET};
--- a/crates/sessions/src/token.rs
+++ b/crates/sessions/src/token.rs
@@ -47,6 +47,9 @@
     /// It belongs to another group.
     #[error("the session token is of another cluster")]
     Group,
+    /// More than may be set for a connection.
+    #[error("more session tokens are set than a connection may hold")]
+    TooMany,
     /// Tokens are not taken here.
     #[error("session tokens are not taken here")]
     Off,
--- a/crates/sessions/tests/laws.rs
+++ b/crates/sessions/tests/laws.rs
@@ -202,3 +202,29 @@
     assert!(bad(settings(3, 3)).contains("instance 3 is none of 3"));
     assert_eq!(bad(settings(3, 2)), "");
 }
+
+// Several tokens of a group set at once all count: a client with several requests open holds several.
+#[test]
+fn a_wallet_keeps_all_that_was_set_or_says_so() {
+    let text = |group, wrote| {
+        Token { key: Key { group, name: 1 }, mark: Mark { wrote, read: 0 }, issued: MS }.write(9)
+    };
+    let (one, two, other) = (text(2, MS), text(2, 2 * MS), text(3, MS));
+    let held = |wallet: &Wallet, group| wallet.of(group).map(str::to_string).collect::<Vec<_>>();
+    let mut wallet = Wallet::default();
+    assert_eq!(wallet.set(&format!("{one}+{two}+{other}"), 9), Ok(()));
+    assert_eq!(held(&wallet, 2), [one.clone(), two.clone()]);
+    assert_eq!(wallet.set(&two, 9), Ok(()));
+    assert_eq!(
+        (held(&wallet, 2), held(&wallet, 3)),
+        (vec![two.clone()], vec![other]),
+        "what is set replaces its group's"
+    );
+    assert_eq!(wallet.set(&format!("{one}+x"), 9), Err(TokenError::Shape));
+    assert_eq!(held(&wallet, 2).len(), 1, "what cannot be used changes nothing");
+    let many: Vec<String> = (0..=MOST_SET as u64).map(|group| text(group, MS)).collect();
+    assert_eq!(wallet.set(&many.join("+"), 9), Err(TokenError::TooMany));
+    assert_eq!(held(&wallet, 2), [two]);
+    wallet.clear();
+    assert!(held(&wallet, 2).is_empty());
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -9,7 +9,7 @@
 use petrelgauge_lifecycle::desk::{Desk, Order, Send};
 pub use petrelgauge_lifecycle::desk::{Outcome, Request, Visit};
 use petrelgauge_policy::*;
-use petrelgauge_sessions::{BulletinError, Counts, Keeper, Key, Snapshot, TokenError};
+use petrelgauge_sessions::{BulletinError, Counts, Keeper, Key, Snapshot, TokenError, Wallet};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -70,9 +70,9 @@
         self.0.desk.borrow().keeps_sessions()
     }
 
-    /// The group that a token is for, if it can be used here.
-    pub fn group_of(&self, token: &str) -> Result<GroupId, TokenError> {
-        self.0.desk.borrow().group_of(token)
+    /// Puts what a client set into its wallet.
+    pub fn set_tokens(&self, wallet: &mut Wallet, text: &str) -> Result<(), TokenError> {
+        self.0.desk.borrow().set_tokens(wallet, text)
     }
 
     /// The visit of a session, with what its client brought of it. An unusable token is an error.
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -14,6 +14,7 @@
 use bytes::{Buf, Bytes};
 use petrelgauge_lifecycle::asked::{Asked, Event, Final as Last};
 use petrelgauge_lifecycle::client::{Client, Do, Event as Happens, Kind, Stage, Used};
+use petrelgauge_sessions::Wallet;
 use std::cell::RefCell;
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -32,8 +33,6 @@
 /// Queries, and bytes of them, that may wait while one is being answered.
 const AHEAD: usize = 64;
 const AHEAD_BYTES: usize = 2 * pg::MOST;
-/// Groups whose tokens a client may have set.
-const MOST_MARKS: usize = 16;
 
 /// What all sessions share.
 pub struct Front {
@@ -105,7 +104,7 @@
             writer,
             shed: Rc::new(Notify::new()),
             stopping: self.stopping.clone(),
-            marks: VecDeque::new(),
+            marks: Wallet::default(),
         };
         let end = session.run(number).await;
         log::debug!("client {number} ended: {end:?}");
@@ -345,8 +344,8 @@
     writer: WriteHalf<'a>,
     shed: Rc<Notify>,
     stopping: watch::Receiver<bool>,
-    /// Session tokens that it set, by group; the oldest gives way.
-    marks: VecDeque<String>,
+    /// Session tokens that it set.
+    marks: Wallet,
 }
 
 impl Session<'_> {
@@ -482,15 +481,8 @@
     fn set(&mut self, setting: Setting) -> Result<&'static str, Flawed> {
         match &setting {
             Setting::Mark(text) if self.front.facade.keeps_sessions() => {
-                for token in text.split('+').filter(|token| !token.is_empty()) {
-                    let group =
-                        self.front.facade.group_of(token).map_err(|cause| ("22023", cause.to_string()))?;
-                    // The newest of a group is all that its answers were told.
-                    self.marks.retain(|known| self.front.facade.group_of(known) != Ok(group));
-                    self.marks.push_back(token.to_string());
-                }
-                let excess = self.marks.len().saturating_sub(MOST_MARKS);
-                self.marks.drain(..excess);
+                let set = self.front.facade.set_tokens(&mut self.marks, text);
+                set.map_err(|cause| ("22023", cause.to_string()))?;
             }
             Setting::NoMark | Setting::Discard => self.marks.clear(),
             Setting::Mark(_) | Setting::Other | Setting::Reset => {}
@@ -508,9 +500,7 @@
         let name = statement.session.as_ref().unwrap_or(&statement.name);
         let brought =
             statement.mark.iter().flat_map(|text| text.split('+')).filter(|token| !token.is_empty());
-        let set = self.marks.iter().map(String::as_str);
-        let set = set.filter(|token| facade.group_of(token) == Ok(statement.cluster));
-        let tokens: Vec<&str> = brought.chain(set).collect();
+        let tokens: Vec<&str> = brought.chain(self.marks.of(statement.cluster)).collect();
         facade.visit(at, statement.cluster, name, &tokens).map_err(|cause| ("22023", cause.to_string()))
     }
 
