--- a/crates/models/src/stop.rs
+++ b/crates/models/src/stop.rs
@@ -211,6 +211,10 @@
                 if ended == gateway::Do::End && (clients, attempts) != (0, 0) {
                     self.broken = Some(HELD);
                 }
+                // The look comes again and again: a run that only looks would never be over.
+                if (clients, attempts) == (0, 0) && self.gateway.stage() != gateway::Stage::Ended {
+                    self.broken = Some(ENDS);
+                }
             }
         }
     }
