Take a miss alike to the last one for a miss, not for a copy of it

Cause: while a group has no primary, or a replica's log stands still, all its misses (25006, 72000) carry the same words and the same position. Connection::last in src/net/hosts.rs held the hash of any answer that told a position, so the second such miss within a second on one connection was judged HostRepeated: may have run, connection closed, member barred.

Ruled out: true copies. They come right behind an answer (the host row of the bad ones), and a connection whose answers cannot be told apart rests 20 ms and is looked at before it is used again, which held them off all along.

Change: only rows that tell a position are held to be unlike all others (rest::is_unlike_others). Attempts, final answers and lists are now logged at debug, to count over a fleet.

--- a/crates/lifecycle/src/rest.rs
+++ b/crates/lifecycle/src/rest.rs
@@ -86,8 +86,15 @@
     }
 }
 
+/// Whether no other answer of a connection can be alike to this one but a copy of it: a row that tells its position. A
+/// member whose log stands still (cut off, or its group without a primary) turns one request after the other away with
+/// the same words and the same position.
+pub fn is_unlike_others(row: bool, tells_position: bool) -> bool {
+    row && tells_position
+}
+
 /// Whether an answer is taken for a copy of the last one on its connection: hashes of both, the last one's only if it
-/// told its position, for no two answers are alike then.
+/// [`is_unlike_others`].
 pub fn is_copy(recent: bool, last: Option<u64>, this: Option<u64>) -> bool {
     recent && last.is_some() && last == this
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -200,6 +200,16 @@
             self.next = next.max(id.wrapping_add(1));
             known.gone = (row.phase == Phase::Removed).then_some(known.gone.unwrap_or(now));
             let started = row.up_since_ms.saturating_mul(1000).max(0);
+            log::debug!(
+                "list host={id} name={} cluster={} zone={} phase={:?} up_since_ms={} role={} revision={}",
+                row.id,
+                row.cell,
+                row.locality,
+                row.phase,
+                row.up_since_ms,
+                row.replication.as_deref().unwrap_or("-"),
+                list.revision,
+            );
             match row.host_port {
                 Some(address) if row.phase != Phase::Removed => {
                     self.hosts.place(id, Site { address, started, up: row.phase == Phase::Up });
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -546,6 +546,14 @@
         let until = taken.request.until;
         let (mut out, given) = (Vec::new(), self.decide(&taken).await?);
         let counters = &self.front.counters;
+        log::debug!(
+            "request class={} cluster={} end={} took={} left={}",
+            taken.statement.class,
+            taken.statement.cluster,
+            given.word(),
+            self.front.clock.now() - taken.request.at,
+            until - self.front.clock.now(),
+        );
         match &given {
             Final::Given(Given { answer: Answer::Row(row), .. }) => {
                 counters.served.add();
@@ -639,6 +647,16 @@
     Failed,
 }
 
+impl Final {
+    fn word(&self) -> &'static str {
+        match self {
+            Final::Given(_) => "given",
+            Final::Refused { .. } => "refused",
+            Final::Failed => "failed",
+        }
+    }
+}
+
 /// Waits for the attempt that is out, if there is one.
 async fn finished(attempt: &mut Option<JoinHandle<Option<Given>>>) -> Option<Given> {
     match attempt {
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -11,7 +11,7 @@
 use bytes::Buf;
 use petrelgauge_lifecycle::ending::End;
 use petrelgauge_lifecycle::exchange::{Away, Event, Exchange, Stage};
-use petrelgauge_lifecycle::rest::{is_copy, Keep, Look, Resting};
+use petrelgauge_lifecycle::rest::{is_copy, is_unlike_others, Keep, Look, Resting};
 use petrelgauge_lifecycle::verdict;
 use socket2::SockRef;
 use std::cell::RefCell;
@@ -51,7 +51,7 @@
     stream: TcpStream,
     framer: Framer,
     site: Site,
-    /// The last answer, hashed, if it told its position: no two answers then are alike but copies.
+    /// The last answer, hashed, if no other can be alike to it but a copy.
     last: Option<u64>,
     recent: bool,
     _slot: Slot,
@@ -184,7 +184,8 @@
         let (host, until) = (attempt.host, attempt.until);
         let mut line = Line::new(self.reuse(host), self.budget.hold(false));
         let now = self.clock.now();
-        let mut life = Exchange::new(line.connection.is_some(), now, now + self.connect_span, until);
+        let (began, reused, mut written) = (now, line.connection.is_some(), None);
+        let mut life = Exchange::new(reused, now, now + self.connect_span, until);
         // One timer for as long as the limit is the same.
         let mut due = life.due();
         let mut timer = pin!(self.clock.sleep_until(due));
@@ -203,6 +204,7 @@
                 }
             };
             life.on(self.clock.now(), event);
+            written = written.or_else(|| life.may_have_run().then(|| self.clock.now()));
         }
         let now = self.clock.now();
         let Line { connection, reply, hold, .. } = line;
@@ -221,7 +223,14 @@
             }
         }
         self.counters.ended(told.end);
-        log::debug!("attempt at {host} ended: {:?}", told.end);
+        log::debug!(
+            "attempt host={host} class={} cluster={} end={:?} took={} written={} reused={reused}",
+            statement.class,
+            statement.cluster,
+            told.end,
+            now - began,
+            written.map_or(-1, |at| at - began),
+        );
         // What a host said counts only if that is how the attempt ended.
         let reply = reply.filter(|_| told.end.is_answer());
         let outcome = match &reply {
@@ -321,8 +330,9 @@
                     Err(_) => return Event::Malformed,
                     Ok(None) => {}
                     Ok(Some(reply)) => {
+                        let row = matches!(reply.answer, Answer::Row(_));
                         let tells = reply.told.iter().any(|(name, _)| name == "log_position");
-                        let this = tells.then(|| line.hash.finish());
+                        let this = is_unlike_others(row, tells).then(|| line.hash.finish());
                         let last = std::mem::replace(&mut connection.last, this);
                         let (end, copy) = (judge(&reply), is_copy(connection.recent, last, this));
                         line.reply = Some(reply);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -381,6 +381,19 @@
     gateway.wait_for_counter("HostRepeated=1");
 }
 
+// While a group has no primary, the positions of its members stand still, and a member turns one request after the other
+// away in the same words. Taken for copies, these cost their connections, and writes counted as run.
+#[test]
+fn two_misses_that_are_alike_are_two_misses() {
+    let stage = Stage::new(39);
+    let script = vec![Say::ErrorAt("25006", 5), Say::ErrorAt("25006", 5), Say::RowAt(b"one", 6)];
+    let host = stage.host(script);
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let answer = gateway.client().ask(&insert("a", 20000));
+    assert_eq!(answer[1].1[6..], *b"one");
+    gateway.wait_for_counter("Served=1 TurnedAway=2");
+}
+
 // Whatever the gateway overlooks, a host may not: its word is the answer, and no further host is asked.
 #[test]
 fn a_statement_that_a_host_cannot_use_is_answered_at_once() {
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -85,6 +85,8 @@
     Bytes(&'static [u8]),
     WaitForGo(&'static [u8]),
     Error(&'static str),
+    /// The same from a replica at this position.
+    ErrorAt(&'static str, u64),
     Close,
     Nothing,
 }
@@ -157,7 +159,8 @@
         assert_eq!(kind, b'Q', "only simple queries");
         let _ = saw.send(String::from_utf8_lossy(&body[..body.len() - 1]).into_owned());
         let say = script.lock().expect("a script").next();
-        let role = if matches!(say, Some(Say::ReplicaAt(..))) { "standby" } else { "primary" };
+        let role =
+            if matches!(say, Some(Say::ReplicaAt(..) | Say::ErrorAt(..))) { "standby" } else { "primary" };
         let answer = match say {
             Some(Say::Row(value)) => row(value),
             Some(Say::RowAt(value, at) | Say::ReplicaAt(value, at)) => {
@@ -176,6 +179,10 @@
                 row(value)
             }
             Some(Say::Error(code)) => message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes()),
+            Some(Say::ErrorAt(code, at)) => {
+                let error = message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes());
+                [error, message(b'S', format!("log_position\0{at}\0").as_bytes())].concat()
+            }
             Some(Say::Nothing) => continue,
             Some(Say::Close) | None => return,
         };
