Share attempts out over a fleet: limits under one attempt, paced, for writes too

The lines at fault: room() let every router have one attempt out whatever its limit (.max(1.0) in sends.rs), FIRST_LIMIT gave each router six, steer() moved by a seventh for each of the rare answers, and trials of silent primaries (place_at_primary, due) passed by the limit altogether and were cut off after half an aim, so none was ever answered while its work went on.

Ruled out: dead hosts (they took work at their pace), full connection tables (every refusal came behind a written statement), the cold budget (the worst hosts had been up all along).

Change: limits are reckoned for eight routers; a larger fleet has part = (8 / routers)^1.25 of them each. A part under one attempt is one attempt and a pause of its sojourn times the rest. Trials keep to the same room, and a trial at a primary lasts half of the time left. For up to eight routers nothing but that trial changes.

--- a/crates/policy/src/router/health.rs
+++ b/crates/policy/src/router/health.rs
@@ -15,7 +15,7 @@
     /// May a suspect be tried again? One attempt at a time finds out, a short one for choice.
     pub(super) fn due(&self, id: MemberId) -> bool {
         let able = |m: &Member| self.standing(m) && !m.down && m.suspect && self.now >= m.barred_until;
-        !self.set.may_probe && self.members.get(&id).is_some_and(able) && self.cold_room(id)
+        !self.set.may_probe && self.members.get(&id).is_some_and(able) && self.room(id, 1.0)
     }
 
     pub(super) fn watch_health(&mut self) {
@@ -73,9 +73,7 @@
         };
         let asked: Vec<MemberId> =
             self.groups.iter().filter(leaderless).flat_map(|(_, g)| g.members.clone()).collect();
-        for id in asked {
-            self.probe(id, 2 * silence);
-        }
+        asked.into_iter().for_each(|id| self.probe(id, 2 * silence));
     }
 
     /// Probes a member that is not being probed, at most once in `pause`, while the purse lasts.
--- a/crates/policy/src/router/list.rs
+++ b/crates/policy/src/router/list.rs
@@ -6,11 +6,8 @@
     pub(super) fn list(&mut self, whole: bool, entries: &[Entry]) {
         if whole {
             let named: BTreeSet<MemberId> = entries.iter().map(|e| e.member).collect();
-            for (id, member) in &mut self.members {
-                if !named.contains(id) {
-                    member.standing = Standing::Gone;
-                }
-            }
+            let unnamed = self.members.iter_mut().filter(|(id, _)| !named.contains(id));
+            unnamed.for_each(|(_, member)| member.standing = Standing::Gone);
         }
         for entry in entries {
             match self.members.get_mut(&entry.member) {
@@ -52,23 +49,17 @@
         }
     }
 
-    pub(super) fn learn(
-        &mut self,
-        id: MemberId,
-        position: Option<Time>,
-        role: Option<Role>,
-        when: Option<Time>,
-    ) {
+    pub(super) fn learn(&mut self, id: MemberId, told: Option<Time>, role: Option<Role>, at: Option<Time>) {
         let now = self.now;
         let Some(member) = self.members.get_mut(&id) else { return };
-        match (role, when) {
+        match (role, at) {
             (Some(Role::Primary), Some(at)) if at > member.primary_at => member.primary_at = at,
             (Some(Role::Replica), Some(at)) if at > member.replica_at => member.replica_at = at,
             _ => {}
         }
-        let Some(position) = position else { return };
+        let Some(position) = told else { return };
         member.position = member.position.max(position);
-        if role == Some(Role::Replica) && when == Some(now) {
+        if role == Some(Role::Replica) && at == Some(now) {
             keep(&mut member.lags, (now, now.saturating_sub(position).max(0)));
         }
     }
@@ -106,7 +97,8 @@
                     member.barred_until = now;
                 }
             }
-            let aims = *took as f64 / self.set.classes[out.class].aim as f64;
+            let (aim, part) = (self.set.classes[out.class].aim as f64, self.part);
+            let aims = *took as f64 / aim;
             let sample = (now, aims / (1.0 + out.beside));
             // One attempt out at a member is the least a limit can ask for, and hundreds of routers with one
             // each crowd it all the same. So each also sheds reads by the sojourns it sees at all members.
@@ -125,7 +117,7 @@
                     member.strikes = 0;
                     keep(&mut member.sojourns, sample);
                     keep(&mut self.sojourns, sample);
-                    steer(member, aims);
+                    steer(member, aims, part);
                 }
                 // Silent for all of an attempt's time; a probe would have told before.
                 Ending::TimedOut if member.heard <= out.sent && !self.set.may_probe => {
@@ -135,13 +127,18 @@
                 // and a crowded member looks fine. Harms little: a member freed meanwhile regains its limit.
                 Ending::TimedOut | Ending::CalledOff => {
                     keep(&mut member.sojourns, sample);
-                    steer(member, aims.min(1.0));
+                    steer(member, aims.min(1.0), part);
                 }
-                Ending::Full => member.limit = (member.limit * 0.8).max(1.0),
+                Ending::Full => member.limit = (member.limit * 0.8f64.powf(1.0 / part.sqrt())).max(1.0),
                 // Once may be chance or a lossy path; twice in a row is looked into.
                 Ending::Unreached | Ending::Broken => member.suspect |= member.strikes > 0,
                 _ => {}
             }
+            // With hundreds of routers one attempt each is too much already: a limit of a tenth of one is one
+            // attempt, and a pause nine times as long.
+            let pause =
+                aim * aims.max(member.load).clamp(TARGET, 3.0) * (1.0 / (member.limit * part) - 1.0).max(0.0);
+            member.paced_until = now + pause as Time;
             // A member that turns work back fast (full, draining, its connections broken) looks idle and
             // quick, and would draw ever more: each attempt without service doubles a pause. Covers any
             // fault that answers probes and fails requests; harms a member hit by chance, for one pause.
@@ -196,12 +193,14 @@
     }
 }
 
-/// Moves the number of attempts a member may have out towards the sojourn aimed at.
-pub(super) fn steer(member: &mut Member, aims: f64) {
-    member.load += (aims - member.load) * 0.15;
+/// Moves the number of attempts a member may have out towards the sojourn aimed at. The smaller a router's
+/// part in the fleet, the fewer of the answers it sees, and the more each of them counts.
+pub(super) fn steer(member: &mut Member, aims: f64, part: f64) {
+    member.load += (aims - member.load) * 0.15 / part.sqrt();
     // The root keeps small limits growing, so that many routers share a member evenly and none starves.
-    let push = 0.5 * ((TARGET / member.load.max(1e-6)).clamp(0.5, 1.0) - 1.0 + 0.5 / member.limit.sqrt());
-    if push < 0.0 || member.out as f64 + 1.0 >= 0.7 * member.limit {
+    let ratio = (TARGET / member.load.max(1e-6)).clamp(0.5, 1.0);
+    let push = 0.5 / part.sqrt() * (ratio - 1.0 + 0.5 / member.limit.sqrt());
+    if push < 0.0 || member.out as f64 + 1.0 >= 0.7 * member.limit * part {
         member.limit = (member.limit + push).clamp(1.0, 512.0);
     }
 }
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -35,8 +35,11 @@
 const HOLD: f64 = 0.25;
 /// Step of the share then refused unsent, for each answer: some tens of answers from nothing to all.
 const SHED_STEP: f64 = 0.02;
-/// Attempts a member may have out before it has shown what it carries (count).
+/// Attempts a member may have out before it has shown what it carries (count). Limits are reckoned for so
+/// many routers. More have a part of them each, and less in all (power): each then learns late.
 const FIRST_LIMIT: f64 = 6.0;
+const FEW: f64 = 8.0;
+const RARE: f64 = 1.25;
 /// Share of the primary's room that reads may fill; the rest is kept for what only it can do (fraction).
 const READ_ROOM: f64 = 0.6;
 /// Part of a cold member's budget that all routers together plan to use, reckoned from what members carry,
@@ -72,6 +75,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Router {
     set: Settings,
+    /// This router's part in the limits of a few.
+    part: f64,
     rng: Dice,
     now: Time,
     members: BTreeMap<MemberId, Member>,
@@ -107,6 +112,7 @@
         let never = Time::MIN / 2;
         Ok(Router {
             typical_try: vec![0; settings.classes.len()],
+            part: (FEW / settings.routers as f64).powf(RARE).min(1.0),
             set: settings,
             rng: Dice::seed_from_u64(seed),
             asked_at: never,
@@ -148,9 +154,7 @@
         self.give_way();
         let waiting: Vec<GroupId> =
             self.groups.iter().filter(|(_, g)| !g.waiting.is_empty()).map(|(id, _)| *id).collect();
-        for group in waiting {
-            self.pump(group);
-        }
+        waiting.into_iter().for_each(|group| self.pump(group));
         if !self.ticking && !self.requests.is_empty() {
             self.ticking = true;
             self.actions.push(Action::Timer { token: 0, at: now + 2 * self.set.granularity });
--- a/crates/policy/src/router/pick.rs
+++ b/crates/policy/src/router/pick.rs
@@ -110,7 +110,7 @@
             }
         }
         let share = |id: &MemberId| if Some(*id) == primary { READ_ROOM } else { 1.0 };
-        let able = |id: &MemberId| self.well(*id) && self.room(*id, share(id)) && self.cold_room(*id);
+        let able = |id: &MemberId| self.well(*id) && self.room(*id, share(id));
         let mut usable: Vec<MemberId> = self.peers(req.group).iter().copied().filter(able).collect();
         usable.retain(|id| !self.lately_refused(req, *id) && (!last || Some(*id) == primary));
         // What a cold primary's budget holds is for writes, so long as reads have another member.
--- a/crates/policy/src/router/requests.rs
+++ b/crates/policy/src/router/requests.rs
@@ -42,8 +42,7 @@
             end: now + time_left,
             half: now + time_left / 2,
             mark: *floor,
-            attempts: Vec::new(),
-            refused: Vec::new(),
+            ..Request::default()
         };
         self.requests.insert(seq, state);
         self.groups.entry(*group).or_default().waiting.insert(seq);
@@ -107,9 +106,7 @@
                 ended.push(*seq);
             }
         }
-        for seq in ended {
-            self.finish(seq);
-        }
+        ended.into_iter().for_each(|seq| self.finish(seq));
     }
 
     /// Clients hold only so many connections: with all of them in use the next request reaches nobody. What
--- a/crates/policy/src/router/sends.rs
+++ b/crates/policy/src/router/sends.rs
@@ -4,8 +4,10 @@
 
 impl Router {
     pub(super) fn room(&self, id: MemberId, share: f64) -> bool {
-        let limit = |m: &Member| if m.strikes >= DOUBTFUL { 1.0 } else { (m.limit * share).max(1.0) };
-        self.members.get(&id).is_some_and(|m| (m.out.saturating_sub(m.lost) as f64) < limit(m))
+        let Some(member) = self.members.get(&id) else { return false };
+        let most = if member.strikes >= DOUBTFUL { 1.0 } else { member.limit * self.part * share };
+        let out = member.out.saturating_sub(member.lost) as f64;
+        out < most.max(1.0) && self.now >= member.paced_until && self.cold_room(id)
     }
 
     /// May this attempt go out at all? Asked for every send, whatever path wants it.
@@ -53,7 +55,8 @@
         let Some(member) = self.members.get_mut(&id) else { return };
         (member.credit, member.credited_at) = (credit, now);
         // A suspect is tried for a short while, so that its request has time left for another.
-        let trial = now + self.set.classes[class].aim / 2;
+        // What no other can take is better off in its queue for a while, if it is only crowded.
+        let trial = if member.leads() { (end - now) / 2 } else { self.set.classes[class].aim / 2 } + now;
         let until = if member.suspect { end.min(trial) } else { end };
         if member.suspect {
             member.barred_until = trial;
@@ -62,13 +65,7 @@
         self.outs.insert((request.clone(), place), out);
         member.out += 1;
         if let Some(req) = self.requests.get_mut(&seq) {
-            req.attempts.push(Attempt {
-                member: id,
-                sent: now,
-                out: true,
-                may_have_run: false,
-                reached: false,
-            });
+            req.attempts.push(Attempt { member: id, sent: now, out: true, ..Attempt::default() });
             if !mutant(SecondCopy) {
                 self.groups.entry(req.group).or_default().waiting.remove(&seq);
             }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -49,6 +49,8 @@
     pub(crate) sojourns: Samples<f64>,
     pub(crate) load: f64,
     pub(crate) limit: f64,
+    /// Until when a limit of less than one attempt keeps the next one away.
+    pub(crate) paced_until: Time,
     pub(crate) out: u32,
     /// Of these, past their aim while the member has answered others since.
     pub(crate) lost: u32,
@@ -80,7 +82,7 @@
 }
 
 /// An attempt, as its request knows it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Attempt {
     pub(crate) member: MemberId,
     pub(crate) sent: Time,
@@ -91,7 +93,7 @@
 }
 
 /// A request that has no final answer yet.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Request {
     pub(crate) id: RequestId,
     pub(crate) class: usize,
--- /dev/null
+++ b/crates/policy/tests/fleet.rs
@@ -0,0 +1,207 @@
+//! What is harmless at one router and harmful at a hundred: many routers, stepped together before members that they
+//! share. No chance but the routers' own, from fixed seeds.
+
+mod common;
+use common::*;
+use petrelgauge_policy::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const TICK: Time = 5 * MS;
+/// Work that a member holds, beyond what it works on, before it turns more away.
+const QUEUE: usize = 100;
+
+/// A member: so many at a time, in the order they came, each for so long. Nothing that was given up stops.
+struct Member {
+    primary: bool,
+    slots: usize,
+    work: Time,
+    queue: VecDeque<Job>,
+    busy: Vec<(Time, Job)>,
+    /// Sent to it, served in time, and the most that ever was there at once.
+    sent: usize,
+    peak: usize,
+}
+
+#[derive(Clone)]
+struct Job {
+    router: usize,
+    request: RequestId,
+    attempt: u32,
+    sent: Time,
+}
+
+struct Fleet {
+    now: Time,
+    routers: Vec<Router>,
+    due: Vec<Time>,
+    inbox: Vec<Vec<Event>>,
+    members: BTreeMap<MemberId, Member>,
+    /// Attempts that are out: member, when sent, when given up.
+    out: BTreeMap<(usize, RequestId, u32), (MemberId, Time, Time)>,
+    attempts: BTreeMap<(usize, RequestId), u32>,
+    writes: BTreeSet<RequestId>,
+    served: usize,
+    asked: usize,
+}
+
+impl Fleet {
+    fn new(count: usize, entries: &[Entry], members: Vec<(MemberId, bool, usize, Time)>) -> Fleet {
+        let mut settings = Settings { routers: count as u32, may_probe: false, attempts: 8, ..settings() };
+        // Writes are wanted soon and waited for long.
+        settings.classes[5].deadline = 3_000 * MS;
+        settings.classes[5].effect = Effect::Keyed { window: 5_000 * MS, scope: Scope::Group };
+        let router = |n| Router::new(settings.clone(), 1000 + n as u64).expect("sound settings");
+        let list = |_| vec![Event::List { whole: true, entries: entries.to_vec().into() }];
+        let member = |(id, primary, slots, work)| {
+            let (queue, busy) = Default::default();
+            (id, Member { primary, slots, work, queue, busy, sent: 0, peak: 0 })
+        };
+        Fleet {
+            now: START,
+            routers: (0..count).map(router).collect(),
+            due: vec![0; count],
+            inbox: (0..count).map(list).collect(),
+            members: members.into_iter().map(member).collect(),
+            out: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            writes: BTreeSet::new(),
+            served: 0,
+            asked: 0,
+        }
+    }
+
+    fn ask(&mut self, router: usize, class: usize, time_left: Time) {
+        self.asked += 1;
+        let name = format!("q{}", self.asked);
+        self.inbox[router].push(request(&name, class, time_left, None));
+        if class >= 4 {
+            self.writes.insert(name.into());
+        }
+    }
+
+    fn tell(&mut self, job: &Job, member: MemberId, ending: Ending) {
+        let place = (job.router, job.request.clone(), job.attempt);
+        if self.out.remove(&place).is_none() {
+            return;
+        }
+        let role = if self.members[&member].primary { Role::Primary } else { Role::Replica };
+        let spoke = matches!(ending, Ending::Served | Ending::Full | Ending::TurnedAway);
+        self.served += (ending == Ending::Served) as usize;
+        self.inbox[job.router].push(Event::Outcome {
+            request: job.request.clone(),
+            attempt: job.attempt,
+            member,
+            ending,
+            took: self.now - job.sent,
+            closed: ending == Ending::Served,
+            position: spoke.then_some(self.now),
+            role: spoke.then_some(role),
+            report: Report::default(),
+        });
+    }
+
+    /// One tick: members work, routers step.
+    fn step(&mut self) {
+        self.now += TICK;
+        let now = self.now;
+        let over: Vec<_> =
+            self.out.iter().filter(|(_, out)| out.2 <= now).map(|(k, v)| (k.clone(), *v)).collect();
+        for ((router, request, attempt), (member, sent, _)) in over {
+            self.tell(&Job { router, request, attempt, sent }, member, Ending::TimedOut);
+        }
+        let ids: Vec<MemberId> = self.members.keys().copied().collect();
+        for id in ids {
+            let Some(member) = self.members.get_mut(&id) else { continue };
+            let done: Vec<Job> =
+                member.busy.iter().filter(|(at, _)| *at <= now).map(|b| b.1.clone()).collect();
+            member.busy.retain(|(at, _)| *at > now);
+            while member.busy.len() < member.slots {
+                let Some(job) = member.queue.pop_front() else { break };
+                member.busy.push((now + member.work, job));
+            }
+            done.iter().for_each(|job| self.tell(job, id, Ending::Served));
+        }
+        for n in 0..self.routers.len() {
+            if self.inbox[n].is_empty() && self.due[n] > now {
+                continue;
+            }
+            let mut events = std::mem::take(&mut self.inbox[n]);
+            if self.due[n] <= now {
+                (self.due[n], _) = (Time::MAX, events.push(Event::Timer { token: 0 }));
+            }
+            let mut actions = Vec::new();
+            self.routers[n].step(now, &events, &mut actions);
+            actions.into_iter().for_each(|action| self.carry_out(n, action));
+        }
+    }
+
+    fn carry_out(&mut self, router: usize, action: Action) {
+        match action {
+            Action::Timer { at, .. } => self.due[router] = at,
+            Action::CallOff { request, attempt } => {
+                let place = (router, request.clone(), attempt);
+                let Some((member, sent, _)) = self.out.get(&place).copied() else { return };
+                self.tell(&Job { router, request, attempt, sent }, member, Ending::CalledOff);
+            }
+            Action::Send { request, member: id, until } => {
+                let attempt = self.attempts.entry((router, request.clone())).or_default();
+                let job = Job { router, request: request.clone(), attempt: *attempt, sent: self.now };
+                *attempt += 1;
+                self.out.insert((router, request, job.attempt), (id, self.now, until));
+                let Some(member) = self.members.get_mut(&id) else {
+                    panic!("a member that was never listed")
+                };
+                member.sent += 1;
+                if !member.primary && self.writes.contains(&job.request) {
+                    return self.tell(&job, id, Ending::TurnedAway);
+                }
+                if member.queue.len() >= QUEUE {
+                    return self.tell(&job, id, Ending::Full);
+                }
+                member.queue.push_back(job);
+                member.peak = member.peak.max(member.queue.len() + member.busy.len());
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Writes at a primary that can do half of them, for 20 s; gives what was served, of what it could do,
+/// in the last 10 s, and the most that it held then.
+fn writes_at_a_slow_primary(routers: usize) -> (f64, usize) {
+    let entries: Vec<Entry> = (1..=3).map(|id| entry(id, Standing::Up, id == 1, 0)).collect();
+    let mut fleet = Fleet::new(
+        routers,
+        &entries,
+        vec![(1, true, 5, 200 * MS), (2, false, 5, 30 * MS), (3, false, 5, 30 * MS)],
+    );
+    let (mut next, mut served) = (0, 0);
+    for tick in 0..4000 {
+        // 50 a second, each at the next router; the primary does 25.
+        if tick % 4 == 0 {
+            fleet.ask(next % routers, 5, 3_000 * MS);
+            next += 37;
+        }
+        if tick == 2000 {
+            served = fleet.served;
+            fleet.members.values_mut().for_each(|member| member.peak = 0);
+        }
+        fleet.step();
+    }
+    ((fleet.served - served) as f64 / 250.0, fleet.members[&1].peak)
+}
+
+// Day join+vast: primaries slowed to a third had one attempt of each of a hundred gateways out, all the time; that is
+// seconds of work, so that all of it was given up before it was answered, and nothing was served until the day's end.
+#[test]
+fn a_hundred_routers_do_not_bury_a_slow_primary() {
+    let (share, peak) = writes_at_a_slow_primary(100);
+    assert!(share > 0.5, "{share:.2} of what the primary can do was answered in time");
+    assert!(peak <= 60, "{peak} attempts at the primary at once");
+}
+
+#[test]
+fn five_routers_keep_a_slow_primary_at_work() {
+    let (share, _) = writes_at_a_slow_primary(5);
+    assert!(share > 0.5, "{share:.2} of what the primary can do was answered in time");
+}
