Give up a connection that does not come up after a multiple of what others took

The line at fault: Exchange::new in src/net/hosts.rs gave every connection that whole span.

Change: a connection is given 16 times the longest that others lately took, 40 ms at the least, doubled for each one in a row that its host let not come up, and never more than the settings say (lifecycle::patience).

--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -39,5 +39,6 @@
 pub mod ending;
 pub mod exchange;
 pub mod gateway;
+pub mod patience;
 pub mod rest;
 pub mod verdict;
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -11,10 +11,11 @@
 use bytes::Buf;
 use petrelgauge_lifecycle::ending::End;
 use petrelgauge_lifecycle::exchange::{Away, Event, Exchange, Stage};
+use petrelgauge_lifecycle::patience::Patience;
 use petrelgauge_lifecycle::rest::{is_copy, is_unlike_others, Keep, Look, Resting};
 use petrelgauge_lifecycle::verdict;
 use socket2::SockRef;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::hash_map::DefaultHasher;
 use std::collections::BTreeMap;
 use std::hash::Hasher;
@@ -45,6 +46,8 @@
     site: Site,
     /// Idle connections with the time they were left, the latest last.
     idle: Vec<(Time, Connection)>,
+    /// Connections in a row that did not come up.
+    missed: u32,
 }
 
 struct Connection {
@@ -64,7 +67,7 @@
     budget: Rc<Budget>,
     counters: Rc<Counters>,
     room: Rc<Room>,
-    connect_span: Time,
+    patience: Cell<Patience>,
     keep: Keep,
     out: Gauge,
 }
@@ -86,7 +89,7 @@
             budget,
             counters,
             room,
-            connect_span,
+            patience: Cell::new(Patience::new(connect_span)),
             keep: Keep::for_hosts(idle_span),
             out: Gauge::default(),
         })
@@ -95,9 +98,9 @@
     /// Discovery told where a host is.
     pub fn place(&self, id: MemberId, site: Site) {
         let mut hosts = self.hosts.borrow_mut();
-        let host = hosts.entry(id).or_insert_with(|| Host { site, idle: Vec::new() });
+        let host = hosts.entry(id).or_insert_with(|| Host { site, idle: Vec::new(), missed: 0 });
         if host.site != site {
-            host.site = site;
+            (host.site, host.missed) = (site, 0);
             host.idle.drain(..).for_each(|_| self.counters.ended(End::Retired));
         }
     }
@@ -185,7 +188,7 @@
         let mut line = Line::new(self.reuse(host), self.budget.hold(false));
         let now = self.clock.now();
         let (began, reused, mut written) = (now, line.connection.is_some(), None);
-        let mut life = Exchange::new(reused, now, now + self.connect_span, until);
+        let mut life = Exchange::new(reused, now, now + self.patience(host), until);
         // One timer for as long as the limit is the same.
         let mut due = life.due();
         let mut timer = pin!(self.clock.sleep_until(due));
@@ -204,6 +207,9 @@
                 }
             };
             life.on(self.clock.now(), event);
+            if event == Event::Greeted {
+                self.came_up(host, self.clock.now() - began);
+            }
             written = written.or_else(|| life.may_have_run().then(|| self.clock.now()));
         }
         let now = self.clock.now();
@@ -223,6 +229,9 @@
             }
         }
         self.counters.ended(told.end);
+        if told.end == End::ConnectSilent {
+            self.count_missed(host, |missed| missed.saturating_add(1));
+        }
         log::debug!(
             "attempt host={host} class={} cluster={} end={:?} took={} written={} reused={reused}",
             statement.class,
@@ -383,6 +392,25 @@
         }
     }
 
+    /// The span that a new connection to this host is given to come up.
+    fn patience(&self, id: MemberId) -> Time {
+        let missed = self.hosts.borrow().get(&id).map_or(0, |host| host.missed);
+        self.patience.get().span(missed)
+    }
+
+    fn came_up(&self, id: MemberId, took: Time) {
+        let mut patience = self.patience.get();
+        patience.came_up(took);
+        self.patience.set(patience);
+        self.count_missed(id, |_| 0);
+    }
+
+    fn count_missed(&self, id: MemberId, count: impl Fn(u32) -> u32) {
+        if let Some(host) = self.hosts.borrow_mut().get_mut(&id) {
+            host.missed = count(host.missed);
+        }
+    }
+
     async fn connect(&self, id: MemberId) -> Result<Connection, Event> {
         let site = self.hosts.borrow().get(&id).map(|host| host.site);
         let site = site.ok_or(Event::NotTried(End::NoAddress))?;
