Spread calls of discovery over a fleet: first calls too, and a jittered backoff

Timed call by call: discovery takes 60 ms a call, in turn, and turns away at 2 s what has waited that long, which takes its 60 ms all the same, so that 17 calls a second keep it useless. What that list costs them: 2400 ConnectRefused and 1900 Full each 2.5 s at hosts that are gone or drain.

Ruled out: discovery being down (it answers all along), the lists' size, a fault in taking up the watch (the first gateways of each start were told in 60 ms steps).

Change: lifecycle::backoff gives full jitter around a mean of 25 ms for each gateway of the settings, doubled twice at most; with a list in hand the first call of a fleet is spread likewise. Up to eight gateways call at once as before.

--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -34,6 +34,7 @@
 //! ```
 
 pub mod asked;
+pub mod backoff;
 pub mod client;
 pub mod desk;
 pub mod ending;
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,7 @@
 use petrelgauge::net::peers::Peers;
 use petrelgauge::net::room::Room;
 use petrelgauge::{Class, Need, Time};
+use petrelgauge_lifecycle::backoff::Backoff;
 use petrelgauge_lifecycle::gateway::{Do, Event, Gateway, Stage};
 use petrelgauge_sessions::{Keeper, SettingsError};
 use std::cell::RefCell;
@@ -54,7 +55,7 @@
     settings.list_on_request = false;
     // Clients hold at most a third of the descriptors.
     settings.most_open = settings.most_open.min(config.sockets as u32 / 3);
-    let classes = settings.classes.clone();
+    let (classes, gateways) = (settings.classes.clone(), settings.routers);
     let clock = Clock::start().ahead(config.operator.clock_shift);
     let (sessions, others) = sessions(&config, &classes, clock.now())?;
     settings.hold = sessions.as_ref().map_or(0, |(keeper, _)| keeper.settings().hold);
@@ -65,7 +66,9 @@
     let room = Room::new();
     let (connect, idle) = (config.info.connect_span(), config.info.idle_span());
     let hosts = Hosts::new(clock, budget.clone(), counters.clone(), room.clone(), connect, idle);
-    let follower = Follower::new(facade.clone(), hosts.clone(), counters.clone(), clock, config.known);
+    let backoff = Backoff::new(gateways, config.seed.rotate_left(32));
+    let follower =
+        Follower::new(facade.clone(), hosts.clone(), counters.clone(), clock, config.known, backoff);
     let (stop, stopping) = watch::channel(false);
     let listener = listen(config.listen).map_err(|cause| format!("cannot listen: {cause}"))?;
     let (mut term, mut interrupt, mut usr1, mut hangup) = (
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -5,6 +5,7 @@
 use crate::net::counters::Counters;
 use crate::net::hosts::{Hosts, Site};
 use crate::{Entry, MemberId, Standing, Time};
+use petrelgauge_lifecycle::backoff::Backoff;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -16,8 +17,6 @@
 /// Discovery writes an empty line every 2 s; silent for this span (microseconds), the watch is taken for
 /// dead. What it has to tell counts as told after 6 s, so little of that may be spent on waiting.
 const SILENCE: Time = 3_000_000;
-/// Pause before the watch is begun again (microseconds).
-const PAUSE: Time = 200_000;
 /// Span in which a host that was removed keeps its number (microseconds). Nothing of it is out by then, and
 /// the decisions remember it no longer.
 const REMEMBERED: Time = 60_000_000;
@@ -72,6 +71,7 @@
     numbers: BTreeMap<String, Known>,
     next: MemberId,
     revision: Option<u64>,
+    backoff: Backoff,
 }
 
 /// A host that discovery named.
@@ -89,9 +89,10 @@
         counters: Rc<Counters>,
         clock: Clock,
         known: Option<List>,
+        backoff: Backoff,
     ) -> Follower {
-        let numbers = BTreeMap::new();
-        let mut follower = Follower { facade, hosts, counters, clock, numbers, next: 0, revision: None };
+        let (numbers, next, revision) = (BTreeMap::new(), 0, None);
+        let mut follower = Follower { facade, hosts, counters, clock, numbers, next, revision, backoff };
         if let Some(list) = known {
             // Whatever it says of itself, it is all that is known: there is no older list to change.
             follower.take(List { complete: true, ..list });
@@ -103,6 +104,13 @@
     pub async fn follow(mut self, mut addresses: watch::Receiver<SocketAddr>) {
         let clock = self.clock;
         let mut last = String::new();
+        // With a list in hand it need not be among the first.
+        let first = if self.numbers.is_empty() { 0 } else { self.backoff.first() };
+        tokio::select! {
+            () = clock.sleep_until(clock.now() + first), if first > 0 => {}
+            Ok(()) = addresses.changed(), if first > 0 => {}
+            else => {}
+        }
         loop {
             let address = *addresses.borrow_and_update();
             self.counters.watches.add();
@@ -122,8 +130,10 @@
                 last = cause;
             }
             // Also a try that waits is over when the address moves.
+            let pause = self.backoff.pause();
+            log::debug!("the watch of discovery ended: {last}; the next in {pause} us");
             tokio::select! {
-                () = clock.sleep_until(clock.now() + PAUSE) => {}
+                () = clock.sleep_until(clock.now() + pause) => {}
                 Ok(()) = addresses.changed() => {
                     self.revision = None;
                 }
@@ -156,6 +166,9 @@
             }
             let mut got = Vec::new();
             let read = lines.feed(&bytes[..count], &mut got);
+            if lines.began() {
+                self.backoff.worked();
+            }
             got.iter().for_each(|line| self.line(line));
             if let Err(cause) = read {
                 self.counters.bad_lists.add();
@@ -325,6 +338,11 @@
         }
     }
 
+    /// Whether its head was read, and is that of an answer.
+    pub fn began(&self) -> bool {
+        self.part != Part::Head
+    }
+
     fn body(&mut self, mut bytes: &[u8], lines: &mut Vec<Vec<u8>>) -> Result<(), &'static str> {
         while let Some(end) = bytes.iter().position(|byte| *byte == b'\n') {
             self.line.extend_from_slice(&bytes[..end]);
