Leave late work that is out to its member, and call off only what can still be in time

Ruled out: true silence (most of these members answered others all along, and a dead zone is told by its hosts together now), the shedding of clients (none ran short of descriptors).

A late answer is an answer, and the client hears it when it comes.

The new test fails without the change.

--- a/crates/policy/src/router/health.rs
+++ b/crates/policy/src/router/health.rs
@@ -125,10 +125,11 @@
         }
     }
 
-    /// Calls work off a member that does not answer, so that it can go elsewhere.
+    /// Calls work off a member that does not answer, so that it can go elsewhere while there is time.
     pub(super) fn abandon(&mut self, id: MemberId, repeatable: impl Fn(Effect) -> bool) {
-        let open = self.requests.iter().filter(|(_, req)| repeatable(self.set.classes[req.class].effect));
-        let open: Vec<u64> = open.map(|(seq, _)| *seq).collect();
+        let late = |r: &Request| self.now - r.born >= share_of(self.set.classes[r.class].aim, HOPE);
+        let fit = |r: &Request| repeatable(self.set.classes[r.class].effect) && !late(r);
+        let open: Vec<u64> = self.requests.iter().filter(|(_, r)| fit(r)).map(|(seq, _)| *seq).collect();
         open.into_iter().for_each(|seq| self.call_off(seq, Some(id)));
     }
 }
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -262,3 +262,29 @@
     assert!(lost < 900, "{lost} attempts of a hundred routers lost in a silent zone within 7 s");
     assert!(served > 0.97, "{served:.3} of the reads served");
 }
+
+// On all three days work that was late was called off: it went on at its member all the same, for nothing, and its
+// client came again.
+#[test]
+fn late_work_that_is_out_is_left_to_its_member() {
+    let mut stage = Stage::new(Settings { may_probe: false, ..settings() });
+    let late = sent_to(&stage.ask("late", 2, 900 * MS)).expect("sent");
+    let mut seen = Vec::new();
+    for n in 0..120 {
+        // The others answer all along; its member says nothing and is found silent.
+        let asked = stage.ask(&format!("r{n}"), 2, 900 * MS);
+        if let Some(member) = sent_to(&asked).filter(|member| *member != late) {
+            stage.end(&format!("r{n}"), 0, member, Ending::Served);
+        }
+        seen.extend(asked);
+        seen.extend(stage.wait(5 * MS));
+    }
+    let given_up = |action: &Action| match action {
+        Action::CallOff { request, .. } | Action::Refuse { request, .. } => &**request == "late",
+        _ => false,
+    };
+    // 600 ms after it was sent, with an aim of 300 ms, and a client that waits for 900 ms.
+    assert!(!seen.iter().any(given_up), "it is still out");
+    let rest: Vec<Action> = (0..70).flat_map(|_| stage.wait(5 * MS)).collect();
+    assert!(rest.iter().any(given_up), "and has its one answer before its client leaves");
+}
