--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -150,6 +150,9 @@
     pub probe_price: f64,
 }
 
+/// Routers that a tier can have (count): a mistyped number would leave each with next to no part in the limits.
+const MOST_ROUTERS: u32 = 10_000;
+
 impl Default for Settings {
     /// No classes yet; one router that may do nothing but send, with figures that a small installation can keep.
     fn default() -> Settings {
@@ -199,7 +202,7 @@
         }
         let figures = [
             (self.attempts > 0, "the most attempts"),
-            (self.routers > 0, "the number of routers"),
+            ((1..=MOST_ROUTERS).contains(&self.routers), "the number of routers"),
             (self.granularity > 0, "the granularity"),
             (self.overload_factor > 0.0, "the overload factor"),
             ((0.0..=1.0).contains(&self.cold_from), "the cold share"),
--- a/crates/policy/tests/trouble.rs
+++ b/crates/policy/tests/trouble.rs
@@ -210,6 +210,11 @@
     let mut bad = settings();
     bad.classes[2].aim = 0;
     assert_eq!(Router::new(bad, 1).err(), Some(SettingsError::BadClass(2)));
+    for routers in [0, 10_001, u32::MAX] {
+        let bad = Settings { routers, ..settings() };
+        assert_eq!(Router::new(bad, 1).err(), Some(SettingsError::BadFigure("the number of routers")));
+    }
+    assert!(Router::new(Settings { routers: 100, ..settings() }, 1).is_ok());
     let bad = Settings { attempts: 0, ..settings() };
     assert!(matches!(Router::new(bad, 1).err(), Some(SettingsError::BadFigure(_))));
 }
