--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -22,6 +22,8 @@
     /// Sent to it, served in time, and the most that ever was there at once.
     sent: usize,
     peak: usize,
+    /// When.
+    times: Vec<Time>,
 }
 
 #[derive(Clone)]
@@ -58,7 +60,20 @@
         let list = |_| vec![Event::List { whole: true, entries: entries.to_vec().into() }];
         let member = |(id, primary, slots, work)| {
             let (queue, busy) = Default::default();
-            (id, Member { primary, slots, work, silent: false, queue, busy, sent: 0, peak: 0 })
+            (
+                id,
+                Member {
+                    primary,
+                    slots,
+                    work,
+                    silent: false,
+                    queue,
+                    busy,
+                    sent: 0,
+                    peak: 0,
+                    times: Vec::new(),
+                },
+            )
         };
         Fleet {
             now: START,
@@ -163,6 +178,7 @@
                     panic!("a member that was never listed")
                 };
                 member.sent += 1;
+                member.times.push(self.now);
                 if member.silent {
                     // It does not come up: given up after 40 ms.
                     self.hung.push((self.now + 40 * MS, id, job));
@@ -288,3 +304,71 @@
     let rest: Vec<Action> = (0..70).flat_map(|_| stage.wait(5 * MS)).collect();
     assert!(rest.iter().any(given_up), "and has its one answer before its client leaves");
 }
+
+/// The most that was sent to any member in a window of the cold rule, as a share of what it may be sent.
+fn spent(fleet: &Fleet) -> f64 {
+    let set = settings();
+    let mut most: f64 = 0.0;
+    for member in fleet.members.values() {
+        let warm = member.slots as f64 * 1e6 / member.work as f64;
+        for (n, from) in member.times.iter().enumerate() {
+            let within = member.times[n..].iter().take_while(|at| **at < from + set.overload_span).count();
+            let grown = ((from - START) as f64 / set.cold_for as f64).min(1.0);
+            let share = set.cold_from + (1.0 - set.cold_from) * grown;
+            let most_sent = set.overload_factor * share * warm * set.overload_span as f64 / 1e6;
+            most = most.max(within as f64 / most_sent);
+        }
+    }
+    most
+}
+
+// A zone's hosts all come back cold while every gateway has work waiting, and the gateways have just started too: none
+// has a rate of its own to reckon a member's share by. Together they must not push one over.
+#[test]
+fn a_hundred_routers_that_just_started_keep_the_cold_budget() {
+    let entries: Vec<Entry> = (1..=6).map(|id| entry(id, Standing::Up, id == 1, START)).collect();
+    let mut fleet = Fleet::new(100, &entries, (1..=6).map(|id| (id, id == 1, 5, 100 * MS)).collect());
+    for tick in 0..3_000 {
+        // Twice what the members can do when they are warm, and work waiting at each router from the start.
+        (0..3).for_each(|n| fleet.ask((tick * 37 + n * 33) % 100, if n == 0 { 5 } else { 2 }, 900 * MS));
+        if tick == 0 {
+            (0..300).for_each(|n| fleet.ask(n % 100, 2 + 3 * (n / 200), 900 * MS));
+        }
+        fleet.step();
+    }
+    let spent = spent(&fleet);
+    assert!(spent <= 1.0, "a cold member was sent {spent:.2} of what it may be sent in one window");
+    assert!(fleet.served > 500, "{} served: the budget is there to be used", fleet.served);
+}
+
+// Six in ten members are replaced while requests keep coming: nothing new goes to one that drains, from the step on in
+// which its router is told.
+#[test]
+fn replaced_members_get_nothing_new_once_they_drain() {
+    let entries: Vec<Entry> = (1..=10).map(|id| entry(id, Standing::Up, id == 10, 0)).collect();
+    let members = (1..=16).map(|id| (id, id == 10, 5, 30 * MS)).collect();
+    let mut fleet = Fleet::new(100, &entries, members);
+    let mut drained: BTreeMap<MemberId, usize> = BTreeMap::new();
+    for tick in 0..2_000 {
+        // One leaves and one comes each second.
+        if tick % 200 == 199 && drained.len() < 6 {
+            let id = drained.len() as MemberId + 1;
+            let news =
+                vec![entry(id, Standing::Draining, false, 0), entry(id + 10, Standing::Up, false, fleet.now)];
+            let news: std::sync::Arc<[Entry]> = news.into();
+            fleet
+                .inbox
+                .iter_mut()
+                .for_each(|inbox| inbox.push(Event::List { whole: false, entries: news.clone() }));
+            fleet.step();
+            drained.insert(id, fleet.members[&id].sent);
+        }
+        (0..2).for_each(|n| fleet.ask((tick * 37 + n * 50) % 100, 2, 900 * MS));
+        fleet.step();
+    }
+    assert_eq!(drained.len(), 6);
+    for (id, sent) in drained {
+        assert_eq!(fleet.members[&id].sent, sent, "member {id} was sent something new");
+        assert!(fleet.members[&(id + 10)].sent > 0, "member {} takes its place", id + 10);
+    }
+}
