Call discovery at once at the start, and wait shortly after a lost watch

At fault: Backoff::first() in lifecycle/backoff.rs, a pause of up to 8 s in a fleet of 160 or more, asked by Follower::follow() in src/net/discovery.rs.

Change: the first call has no pause. Pauses after a watch that fell silent, broke or never came up no longer grow with the fleet, so that two silences of 3 s with their pauses fit into the 6 s after which news counts as told and the 2 s of drains. Only a call answered with a refusal still spreads the fleet.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -5,7 +5,7 @@
 use crate::net::counters::Counters;
 use crate::net::hosts::{Hosts, Site};
 use crate::{Entry, MemberId, Standing, Time};
-use petrelgauge_lifecycle::backoff::Backoff;
+use petrelgauge_lifecycle::backoff::{Backoff, Cause};
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -20,6 +20,8 @@
 /// Span in which a host that was removed keeps its number (microseconds). Nothing of it is out by then, and
 /// the decisions remember it no longer.
 const REMEMBERED: Time = 60_000_000;
+/// What is said of a call that was answered, but not with a list.
+const REFUSED: &str = "its status is not 200";
 /// Longest head and longest line taken from discovery.
 const MOST_HEAD: usize = 16 * 1024;
 const MOST_LINE: usize = 4 * 1024 * 1024;
@@ -104,13 +106,6 @@
     pub async fn follow(mut self, mut addresses: watch::Receiver<SocketAddr>) {
         let clock = self.clock;
         let mut last = String::new();
-        // With a list in hand it need not be among the first.
-        let first = if self.numbers.is_empty() { 0 } else { self.backoff.first() };
-        tokio::select! {
-            () = clock.sleep_until(clock.now() + first), if first > 0 => {}
-            Ok(()) = addresses.changed(), if first > 0 => {}
-            else => {}
-        }
         loop {
             let address = *addresses.borrow_and_update();
             self.counters.watches.add();
@@ -130,7 +125,7 @@
                 last = cause;
             }
             // Also a try that waits is over when the address moves.
-            let pause = self.backoff.pause();
+            let pause = self.backoff.pause(if last == REFUSED { Cause::Refused } else { Cause::Lost });
             log::debug!("the watch of discovery ended: {last}; the next in {pause} us");
             tokio::select! {
                 () = clock.sleep_until(clock.now() + pause) => {}
@@ -363,7 +358,7 @@
     let mut lines = text.split("\r\n");
     let status = lines.next().unwrap_or_default();
     if !status.starts_with("HTTP/1.") || status.split(' ').nth(1) != Some("200") {
-        return Err("its status is not 200");
+        return Err(REFUSED);
     }
     let chunked = lines.filter_map(|line| line.split_once(':')).any(|(name, value)| {
         name.eq_ignore_ascii_case("transfer-encoding") && value.trim().eq_ignore_ascii_case("chunked")
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -477,3 +477,21 @@
         assert!(log.starts_with("petrelgauge: ") && log.contains(cause), "{log} should name {cause}");
     }
 }
+
+// What the agent of discovery holds counts as told, and binds 2 s later, also where a gateway of many has just started
+// with an old list. A fleet that spread its first calls over 8 s sent on to hosts that drained.
+#[test]
+fn a_gateway_of_the_largest_fleet_asks_for_news_before_old_news_bind() {
+    let stage = Stage::new(45);
+    let (old, new) = (stage.host(vec![]), stage.host(vec![Say::Row(b"new")]));
+    let news = stage.entries(&[(&old, "draining", "standby"), (&new, "up", "primary")]);
+    let stage = stage.list(&[(&old, "up", "primary")]).news(&[&list(42, false, &news)]);
+    let config = stage.config().replace("\"balancers\":1", "\"balancers\":10000");
+    let begun = std::time::Instant::now();
+    let gateway = stage.start_as(&config);
+    gateway.next_watch();
+    assert!(begun.elapsed() < std::time::Duration::from_secs(2), "its first call came too late");
+    gateway.wait_for("lists=", |count| count >= 2);
+    assert_eq!(gateway.client().ask(&select("a", "view", 20000))[1].1[6..], *b"new");
+    assert_eq!(old.queries(), 0);
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -320,7 +320,13 @@
 
     /// Starts the program and waits until it serves.
     pub fn start(self) -> Gateway {
-        let mut gateway = self.start_with(&self.config());
+        let config = self.config();
+        self.start_as(&config)
+    }
+
+    /// The same with a configuration that the test has changed.
+    pub fn start_as(self, config: &str) -> Gateway {
+        let mut gateway = self.start_with(config);
         gateway.line_with("serves at");
         (gateway.watches, gateway.end_watch) = source(self.discovery, self.news, self.later);
         gateway
