Share limits out with the power 1.15 and save up twelve pauses in a fleet

Fleet: part = (8/routers)^1.25 in Router::new() takes every router to have the same traffic; the sum of what the light ones leave unused is lost, and a limit of 6 * 0.011 lets one router send 0.66 a second to a primary, under what some have for it.

Change: both constants, because 300 gateways with several times the mean among them are what the settings now tell of; the tests of a slow primary at a hundred routers and of 300 uneven ones hold.

--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -40,9 +40,9 @@
 /// many routers. More have a part of them each, and less in all (power): each then learns late.
 const FIRST_LIMIT: f64 = 6.0;
 const FEW: f64 = 8.0;
-const RARE: f64 = 1.25;
-/// Pauses after attempts that are saved up (count): no router's work comes in even steps.
-const SAVED: f64 = 4.0;
+const RARE: f64 = 1.15;
+/// Pauses that are saved up (count): some routers have many times the work of others, none in even steps.
+const SAVED: f64 = 12.0;
 /// Most that one answer tells of a load (fraction): no mean may swing past what it is made of.
 const TELLING: f64 = 0.5;
 /// Share of the primary's room that reads may fill; the rest is kept for what only it can do (fraction).
