--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -258,8 +258,8 @@
     fleet.served as f64 / fleet.asked as f64
 }
 
-// Day calm+mass: no fault, primaries at a third of what they can do, and 7 to 37 of 100 requests refused after half of
-// their time by gateways that held them back from a primary for seconds after each answer.
+// Day roll+mass: 7 to 37 of 100 requests were refused, while hosts answered within a tenth of a second, by gateways that
+// held them back from a primary for seconds after each answer.
 #[test]
 fn three_hundred_uneven_routers_are_not_held_back_from_a_calm_primary() {
     let share = uneven_writes_at_a_calm_primary(300);
