--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -8,6 +8,7 @@
 //! request has ended. A report tells whether its answer is owed to the client: only while the request is open, and
 //! never if the session of the request would find it too old.
 
+use crate::rules::{Full, Rules};
 use petrelgauge_policy::*;
 use petrelgauge_sessions::{
     BulletinError, Counts, Floor, Keeper, Key, Snapshot, Token, TokenError, Verdict, Wallet,
@@ -17,7 +18,7 @@
 /// A request, in no protocol's words.
 #[derive(Clone, Debug)]
 pub struct Request {
-    /// Place of its class in the settings.
+    /// Place of its class, as [`Desk::find`] gave it.
     pub class: usize,
     /// Its group.
     pub group: GroupId,
@@ -119,13 +120,14 @@
     queue: Vec<Event>,
     next: u64,
     open: BTreeMap<RequestId, Open>,
-    out: BTreeSet<(RequestId, u32)>,
+    /// Each with the place of its class.
+    out: BTreeMap<(RequestId, u32), usize>,
     groups: BTreeSet<GroupId>,
     /// Members that the list names.
     listed: BTreeSet<MemberId>,
-    /// Classes, by place, that carry sessions and that write.
-    carrying: Vec<bool>,
-    writes: Vec<bool>,
+    rules: Rules,
+    /// Places of classes that carry sessions.
+    carrying: BTreeSet<usize>,
     keeper: Option<Keeper>,
     /// Sessions whose writes were given up by their clients since the last look at the clock.
     unsure: Vec<Key>,
@@ -133,8 +135,30 @@
     told: BTreeMap<MemberId, Time>,
 }
 
+/// Why new settings were not taken.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NotTaken {
+    /// They make no sense.
+    Unsound(SettingsError),
+    /// There are open requests of too many classes.
+    Full,
+    /// They ask for sessions, which are switched on at the start only.
+    Sessions,
+}
+
+impl std::fmt::Display for NotTaken {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            NotTaken::Unsound(cause) => cause.fmt(f),
+            NotTaken::Full => write!(f, "requests of too many earlier classes are still open"),
+            NotTaken::Sessions => write!(f, "sessions are switched on at the start only"),
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Open {
+    class: usize,
     attempts: u32,
     watch: Option<Watch>,
 }
@@ -162,15 +186,15 @@
         let places = places.unwrap_or_default();
         Ok(Desk {
             granularity: settings.granularity,
-            carrying: (0..settings.classes.len()).map(|place| places.contains(&place)).collect(),
-            writes: settings.classes.iter().map(|class| class.need == Need::Write).collect(),
+            rules: Rules::new(settings.classes.clone()),
+            carrying: places.into_iter().collect(),
             router: Router::new(settings, seed)?,
             stepped_at: Time::MIN / 2,
             timer_at: None,
             queue: Vec::new(),
             next: 0,
             open: BTreeMap::new(),
-            out: BTreeSet::new(),
+            out: BTreeMap::new(),
             groups: BTreeSet::new(),
             listed: BTreeSet::new(),
             keeper,
@@ -186,12 +210,45 @@
 
     /// Whether the class of this place carries sessions.
     pub fn carries(&self, class: usize) -> bool {
-        self.carrying.get(class).copied().unwrap_or(false)
+        self.carrying.contains(&class)
+    }
+
+    /// The place of the class that a new request names, and the class; `keyed`: the request carries a key.
+    pub fn find(&self, now: Time, name: &str, keyed: bool) -> Option<(usize, Class)> {
+        let place = self.rules.find(now, name, keyed)?;
+        Some((place, self.rules.class(place).clone()))
+    }
+
+    /// Counts the settings that were in force, from 1.
+    pub fn version(&self) -> u64 {
+        self.rules.version()
+    }
+
+    /// New settings hold from now on, for requests to come; those that are open, and their attempts, keep the classes
+    /// that they were admitted with. `carrying` are the places, in these settings, of classes that carry sessions.
+    /// What is wrong with them is said before anything has changed.
+    pub fn follow(&mut self, now: Time, mut settings: Settings, carrying: &[usize]) -> Result<(), NotTaken> {
+        settings.check().map_err(NotTaken::Unsound)?;
+        if self.keeper.is_none() && !carrying.is_empty() {
+            return Err(NotTaken::Sessions);
+        }
+        let used = self.open.values().map(|open| open.class).chain(self.out.values().copied()).collect();
+        let mut rules = self.rules.clone();
+        let classes = std::mem::take(&mut settings.classes);
+        rules.follow(now, classes, &used).map_err(|Full| NotTaken::Full)?;
+        settings.classes = rules.table().to_vec();
+        self.granularity = settings.granularity;
+        self.router.follow(settings).map_err(NotTaken::Unsound)?;
+        let still = |place: &usize| rules.table()[*place] == *self.rules.class(*place);
+        self.carrying.retain(|place| *place < rules.table().len() && still(place));
+        self.carrying.extend(carrying.iter().map(|place| rules.force()[*place]));
+        self.rules = rules;
+        Ok(())
     }
 
     /// Whether sessions are kept at all.
     pub fn keeps_sessions(&self) -> bool {
-        self.carrying.contains(&true)
+        !self.carrying.is_empty()
     }
 
     /// Puts what a client set into its wallet.
@@ -260,7 +317,7 @@
         let id: RequestId = self.next.to_string().into();
         self.next += 1;
         self.look(request.at);
-        let write = self.writes.get(request.class).copied().unwrap_or(false);
+        let write = self.rules.class(request.class).need == Need::Write;
         let watch = match (&mut self.keeper, request.session) {
             (Some(keeper), Some(Visit { key, token })) => {
                 let floor = (!write).then(|| keeper.ask(request.at, key, token.as_ref()));
@@ -272,7 +329,7 @@
             _ => None,
         };
         let needed = watch.as_ref().and_then(|watch| watch.floor).map(|floor| floor.need());
-        self.open.insert(id.clone(), Open { attempts: 0, watch });
+        self.open.insert(id.clone(), Open { class: request.class, attempts: 0, watch });
         self.queue.push(Event::Request {
             request: id.clone(),
             class: request.class,
@@ -344,7 +401,8 @@
                 if let Some(watch) = &mut open.watch {
                     watch.before = self.told.get(&member).copied();
                 }
-                self.out.insert((request.clone(), attempt));
+                let class = open.class;
+                self.out.insert((request.clone(), attempt), class);
                 Some(Order::Send(Send { request, attempt, host: member, until, at: now }))
             }
             Action::Refuse { request, wait } => {
@@ -357,7 +415,7 @@
             }
             Action::CallOff { request, attempt } => {
                 let name = (request.clone(), attempt);
-                let out = self.out.contains(&name);
+                let out = self.out.contains_key(&name);
                 if mutant(Mutant::LostReport) {
                     self.out.remove(&name);
                 }
@@ -379,7 +437,7 @@
             return self.open.contains_key(request);
         }
         let Some(open) = self.open.remove(request) else { return false };
-        if let Open { attempts: 1.., watch: Some(Watch { key, floor: None, .. }) } = open {
+        if let Open { attempts: 1.., watch: Some(Watch { key, floor: None, .. }), .. } = open {
             self.unsure.push(key);
         }
         self.queue.push(Event::Withdrawn { request: request.clone() });
@@ -389,7 +447,7 @@
     /// An attempt ended: its connection rests or is closed. True if the member answered and the request is still
     /// open: then what the member said is the request's final answer, and is owed to the client.
     pub fn report(&mut self, now: Time, send: &Send, mut outcome: Outcome) -> bool {
-        if !self.out.remove(&(send.request.clone(), send.attempt)) {
+        if self.out.remove(&(send.request.clone(), send.attempt)).is_none() {
             // Reported already. A second word would count the attempt out twice.
             return false;
         }
--- a/crates/lifecycle/src/gateway.rs
+++ b/crates/lifecycle/src/gateway.rs
@@ -1,15 +1,24 @@
-//! The life of the gateway itself: serving, its last clients, closing, ended.
+//! The life of the gateway itself: serving, emptied and back, its last clients, closing, ended.
 //!
 //! ```text
-//! Serving --Stop--> LastClients --Due--> Closing --Held(0, 0)--> Ended
+//!    +------------Resume-----------+
+//!    v                             |
+//! Serving --Drain--> Turning --Due--> Empty
+//!    |                  |              +--------Stop-------+
+//!    |                  |                                  v
+//!    +-------Stop-------+--> LastClients --Due--------> Closing --Held(0, 0)--> Ended
 //! ```
 //!
+//! What the front does at a time is its [`Door`], which follows from the stage alone. A drained gateway keeps its
+//! process, its list and what it has learned, and accepts whoever still comes: it only wants nobody to.
+//!
 //! After SIGTERM clients are accepted for a while: the front learns of it only then. Idle ones are closed after that,
 //! the others get their answers, and it ends when nothing is held any more.
 
 use petrelgauge_policy::{mutant, Mutant, Time};
 
-/// After SIGTERM clients are accepted for this span (microseconds).
+/// After SIGTERM, and after the call to drain, clients are served as before for this span (microseconds): the front
+/// learns of it only then.
 pub const LAST_CLIENTS: Time = 450_000;
 
 /// Where it stands.
@@ -17,6 +26,13 @@
 pub enum Stage {
     /// It serves.
     Serving,
+    /// It is to be emptied; the front is told so, and up to this time clients are served as before.
+    Turning {
+        /// Clock time.
+        until: Time,
+    },
+    /// It is emptied: clients are closed as soon as nothing is owed to them.
+    Empty,
     /// It is to stop, and serves up to this time as before.
     LastClients {
         /// Clock time.
@@ -28,11 +44,42 @@
     Ended,
 }
 
+/// What the front does with clients.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Door {
+    /// All are welcome.
+    #[default]
+    Open,
+    /// The empty query is answered with no, all else as before.
+    Turning,
+    /// The same, and clients are closed as soon as nothing is owed to them.
+    Empty,
+    /// Nobody new is accepted either.
+    Shut,
+}
+
+impl Door {
+    /// The empty query is answered so that the front goes on sending clients.
+    pub fn admits(self) -> bool {
+        // A stop is announced by the platform itself.
+        matches!(self, Door::Open | Door::Shut)
+    }
+
+    /// Clients to whom nothing is owed are closed.
+    pub fn empties(self) -> bool {
+        matches!(self, Door::Empty | Door::Shut)
+    }
+}
+
 /// What happens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Event {
     /// SIGTERM or SIGINT.
     Stop,
+    /// The staff wants it emptied.
+    Drain,
+    /// The staff wants it back at work.
+    Resume,
     /// SIGHUP, and whether the file that was read then can be used.
     Reload {
         /// It can.
@@ -58,8 +105,8 @@
     Take,
     /// The old configuration holds; say so.
     Keep,
-    /// Close idle clients, and accept no more once all that came before is accepted.
-    Close,
+    /// Do as the door says now.
+    Doors,
     /// End.
     End,
 }
@@ -68,24 +115,45 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Gateway {
     stage: Stage,
+    /// The platform holds the clients' listening socket: whoever comes after a stop is for the next process.
+    shared: bool,
 }
 
 impl Default for Gateway {
     fn default() -> Gateway {
-        Gateway { stage: Stage::Serving }
+        Gateway::new(false)
     }
 }
 
 impl Gateway {
+    /// One at work. `shared`: the clients' listening socket outlives this process.
+    pub fn new(shared: bool) -> Gateway {
+        Gateway { stage: Stage::Serving, shared }
+    }
+
     /// Where it stands.
     pub fn stage(&self) -> Stage {
         self.stage
     }
 
+    fn at_work(&self) -> bool {
+        matches!(self.stage, Stage::Serving | Stage::Turning { .. } | Stage::Empty)
+    }
+
+    /// What the front is to do now.
+    pub fn door(&self) -> Door {
+        match self.stage {
+            Stage::Serving | Stage::LastClients { .. } => Door::Open,
+            Stage::Turning { .. } => Door::Turning,
+            Stage::Empty => Door::Empty,
+            Stage::Closing | Stage::Ended => Door::Shut,
+        }
+    }
+
     /// Clock time at which [`Event::Due`] is to be told, if any.
     pub fn due(&self) -> Option<Time> {
         match self.stage {
-            Stage::LastClients { until } => Some(until),
+            Stage::LastClients { until } | Stage::Turning { until } => Some(until),
             _ => None,
         }
     }
@@ -93,15 +161,37 @@
     /// Something happened.
     pub fn on(&mut self, now: Time, event: Event) -> Do {
         match (self.stage, event) {
-            (Stage::Serving, Event::Stop) => {
+            // Nobody comes any more, or whoever does is accepted by the next process.
+            (stage, Event::Stop) if stage == Stage::Empty || (self.shared && self.at_work()) => {
+                self.stage = Stage::Closing;
+                Do::Doors
+            }
+            (Stage::Serving | Stage::Turning { .. }, Event::Stop) => {
                 self.stage = Stage::LastClients { until: now + LAST_CLIENTS };
-                Do::Wait
+                Do::Doors
+            }
+            (Stage::Serving, Event::Drain) => {
+                self.stage = Stage::Turning { until: now + LAST_CLIENTS };
+                Do::Doors
+            }
+            (Stage::Turning { .. } | Stage::Empty, Event::Resume) => {
+                self.stage = if mutant(Mutant::StaysDrained) { self.stage } else { Stage::Serving };
+                Do::Doors
+            }
+            (Stage::Turning { until }, Event::Due) if now >= until => {
+                self.stage = Stage::Empty;
+                Do::Doors
+            }
+            (Stage::Serving | Stage::Turning { .. } | Stage::Empty, Event::Reload { usable }) => {
+                if usable {
+                    Do::Take
+                } else {
+                    Do::Keep
+                }
             }
-            (Stage::Serving, Event::Reload { usable: true }) => Do::Take,
-            (Stage::Serving, Event::Reload { usable: false }) => Do::Keep,
             (Stage::LastClients { until }, Event::Due) if now >= until => {
                 self.stage = Stage::Closing;
-                Do::Close
+                Do::Doors
             }
             (Stage::Closing, Event::Held { clients, attempts })
                 if (clients, attempts) == (0, 0) || mutant(Mutant::EndsWhileHeld) =>
@@ -109,7 +199,8 @@
                 self.stage = Stage::Ended;
                 Do::End
             }
-            // A second SIGTERM hurries nothing, and a stopping gateway has no use for a new file.
+            // A second SIGTERM hurries nothing, a stopping gateway has no use for a new file, and neither drains nor
+            // comes back.
             _ => Do::Wait,
         }
     }
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -7,8 +7,10 @@
 //! | `client.rs` | a client's connection | opening, idle, asking, pausing, cut off, ended |
 //! | `asked.rs` | a client's request at the front | waiting, out, ended |
 //! | `exchange.rs` | an attempt on a connection | connecting, greeting, writing, waiting, answering, ended |
+//! | `rules.rs` | the classes, while settings change under open requests | |
 //! | `rest.rs` | a connection between requests | resting, in use, ended |
-//! | `gateway.rs` | the gateway | serving, last clients, closing, ended |
+//! | `gateway.rs` | the gateway | serving, turning, empty, last clients, closing, ended |
+//! | `ops.rs` | calls of the staff, and what is answered | |
 //! | `verdict.rs` | what a host's answer says of an attempt | |
 //! | `ending.rs` | every way in which a connection or an attempt can end | |
 //!
@@ -40,6 +42,8 @@
 pub mod ending;
 pub mod exchange;
 pub mod gateway;
+pub mod ops;
 pub mod patience;
 pub mod rest;
+pub mod rules;
 pub mod verdict;
--- /dev/null
+++ b/crates/lifecycle/src/ops.rs
@@ -0,0 +1,198 @@
+//! The calls of the staff's second address: what a line asks for, and what is answered to it.
+//!
+//! One line to a connection, one line back: `YES` or `NO` and a short reason. A call changes the gateway's life through
+//! [`Event`] alone; the same call twice is no mistake and is answered as if it had been said once.
+
+use crate::gateway::{Do, Event, Gateway, Stage};
+use petrelgauge_policy::Time;
+use std::fmt;
+
+/// Longest line of a caller (bytes), its end not counted.
+pub const MOST_LINE: usize = 64;
+/// Span in which a caller's line must be whole (microseconds).
+pub const LINE: Time = 3_000_000;
+/// Callers at a time (count). A further one takes the place of the one that has waited for longest.
+pub const MOST_CALLERS: usize = 16;
+
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Call {
+    /// Whether it can serve.
+    Ready,
+    /// To be emptied.
+    Drain,
+    /// To go back to work.
+    Resume,
+}
+
+/// Why a caller's line is no call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flaw {
+    /// It is none of the calls.
+    Unknown,
+    /// It is too long to be one.
+    Long,
+    /// It did not end in time.
+    Late,
+}
+
+impl fmt::Display for Flaw {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Flaw::Unknown => "the calls are ready, drain and resume",
+            Flaw::Long => "the line is too long for a call",
+            Flaw::Late => "the line did not end in time",
+        })
+    }
+}
+
+/// Reads a line, without the byte that ends it.
+pub fn read(line: &[u8]) -> Result<Call, Flaw> {
+    match line.trim_ascii() {
+        _ if line.len() > MOST_LINE => Err(Flaw::Long),
+        b"ready" => Ok(Call::Ready),
+        b"drain" => Ok(Call::Drain),
+        b"resume" => Ok(Call::Resume),
+        _ => Err(Flaw::Unknown),
+    }
+}
+
+/// What is known that a gateway needs to serve.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Known {
+    /// Hosts that the list names.
+    pub hosts: usize,
+    /// Discovery has spoken since the start.
+    pub told: bool,
+    /// Clock time from which on the list that it started with will do, when discovery stays silent.
+    pub patience_until: Time,
+    /// Settings in force: 1 for those of the start, one more for each file taken since.
+    pub version: u64,
+}
+
+/// What is answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// `YES`.
+    pub yes: bool,
+    /// A short reason, for staff.
+    pub reason: String,
+}
+
+impl fmt::Display for Reply {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{} {}", if self.yes { "YES" } else { "NO" }, self.reason)
+    }
+}
+
+impl From<Flaw> for Reply {
+    fn from(flaw: Flaw) -> Reply {
+        Reply { yes: false, reason: flaw.to_string() }
+    }
+}
+
+/// Carries a call out on the gateway's life: what is answered, and what is to be done.
+pub fn call(life: &mut Gateway, now: Time, call: Call, known: Known) -> (Reply, Do) {
+    let before = life.stage();
+    let to_do = match call {
+        Call::Ready => Do::Wait,
+        Call::Drain => life.on(now, Event::Drain),
+        Call::Resume => life.on(now, Event::Resume),
+    };
+    let stopping = matches!(before, Stage::LastClients { .. } | Stage::Closing | Stage::Ended);
+    let (yes, reason) = match (call, before) {
+        _ if stopping => (false, "stopping, it ends by itself".to_string()),
+        (Call::Ready, Stage::Serving) => ready(now, known),
+        (Call::Ready, _) => (false, format!("drained; call resume, settings {}", known.version)),
+        (Call::Drain, Stage::Serving) => (true, "draining, clients are gone within 4 s".into()),
+        (Call::Drain, _) => (true, "drained already".into()),
+        (Call::Resume, Stage::Serving) => (true, "at work already".into()),
+        (Call::Resume, _) => (true, "back at work".into()),
+    };
+    (Reply { yes, reason }, to_do)
+}
+
+/// Whether a gateway at work can serve: it has hosts to send to, and their list is not older than need be.
+fn ready(now: Time, known: Known) -> (bool, String) {
+    let Known { hosts, told, patience_until, version } = known;
+    match (hosts, told) {
+        (0, _) => (false, "the list names no host yet".into()),
+        (_, false) if now < patience_until => {
+            (false, format!("waiting for discovery's first word, settings {version}"))
+        }
+        (_, false) => {
+            (true, format!("serving with the list of the start, {hosts} hosts, settings {version}"))
+        }
+        (_, true) => (true, format!("serving, {hosts} hosts, settings {version}")),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::gateway::{Door, LAST_CLIENTS};
+
+    const KNOWN: Known = Known { hosts: 3, told: true, patience_until: 0, version: 1 };
+
+    fn say(life: &mut Gateway, now: Time, word: Call) -> bool {
+        call(life, now, word, KNOWN).0.yes
+    }
+
+    #[test]
+    fn calls_are_read_with_any_space_round_them_and_nothing_else_is() {
+        assert_eq!(read(b"ready"), Ok(Call::Ready));
+        assert_eq!(read(b" drain \r"), Ok(Call::Drain));
+        assert_eq!(read(b"resume"), Ok(Call::Resume));
+        for line in [&b""[..], b"READY", b"ready now", b"rea", b"\xff\xfe"] {
+            assert_eq!(read(line), Err(Flaw::Unknown));
+        }
+        assert_eq!(read(&[b' '; MOST_LINE + 1]), Err(Flaw::Long));
+    }
+
+    #[test]
+    fn it_is_emptied_and_comes_back_and_calls_may_be_said_twice() {
+        let mut life = Gateway::default();
+        assert!(say(&mut life, 0, Call::Resume), "at work already");
+        assert!(say(&mut life, 0, Call::Drain) && !say(&mut life, 1, Call::Ready));
+        assert_eq!((life.door(), life.due()), (Door::Turning, Some(LAST_CLIENTS)));
+        // The second call does not put off the first one's end.
+        assert!(say(&mut life, LAST_CLIENTS / 2, Call::Drain));
+        assert_eq!(life.due(), Some(LAST_CLIENTS));
+        assert_eq!(life.on(LAST_CLIENTS, Event::Due), Do::Doors);
+        assert_eq!((life.door(), life.due()), (Door::Empty, None));
+        assert!(say(&mut life, LAST_CLIENTS, Call::Drain) && !say(&mut life, LAST_CLIENTS, Call::Ready));
+        assert!(say(&mut life, 9_000_000, Call::Resume) && say(&mut life, 9_000_000, Call::Ready));
+        assert_eq!(life.door(), Door::Open);
+    }
+
+    #[test]
+    fn a_stopping_gateway_says_no_to_every_call_and_goes_on_stopping() {
+        let mut life = Gateway::default();
+        life.on(0, Event::Drain);
+        life.on(0, Event::Stop);
+        for word in [Call::Ready, Call::Drain, Call::Resume] {
+            assert!(!say(&mut life, 1, word));
+        }
+        assert!(matches!(life.stage(), Stage::LastClients { .. }));
+    }
+
+    #[test]
+    fn it_is_ready_with_hosts_that_discovery_named_or_after_a_wait_with_those_of_the_start() {
+        let says = |now, hosts, told| {
+            let known = Known { hosts, told, patience_until: 100, version: 1 };
+            call(&mut Gateway::default(), now, Call::Ready, known).0.yes
+        };
+        assert!(!says(0, 0, true) && !says(200, 0, false), "nobody to send to");
+        assert!(says(0, 1, true));
+        assert!(!says(99, 1, false) && says(100, 1, false));
+    }
+
+    #[test]
+    fn a_reload_is_taken_while_drained() {
+        let mut life = Gateway::default();
+        life.on(0, Event::Drain);
+        assert_eq!(life.on(0, Event::Reload { usable: true }), Do::Take);
+        assert_eq!(life.on(0, Event::Reload { usable: false }), Do::Keep);
+        assert_eq!(life.door(), Door::Turning);
+    }
+}
--- a/crates/lifecycle/src/patience.rs
+++ b/crates/lifecycle/src/patience.rs
@@ -30,6 +30,11 @@
         Patience { most, longest: 0, seen: 0 }
     }
 
+    /// The settings allow so much from now on.
+    pub fn at_most(self, most: Time) -> Patience {
+        Patience { most, ..self }
+    }
+
     /// A connection came up and its host was ready after this span.
     pub fn came_up(&mut self, took: Time) {
         self.longest = took.clamp(self.longest - self.longest / FADE, self.most.max(0));
--- /dev/null
+++ b/crates/lifecycle/src/rules.rs
@@ -0,0 +1,213 @@
+//! Which classes of requests there are while the settings change under open requests.
+//!
+//! The decision module knows a class by its place in a table. A request keeps the place, and with it the class, that it
+//! was admitted with, for as long as it or one of its attempts is known. New settings are laid into the table beside
+//! what is still in use: a class that is the same keeps its place, a changed or new one gets a free place or a further
+//! one. So old and new rules stand side by side, and each request has its own, whole.
+//!
+//! For the span [`OVERLAP`] after a change a name that was dropped is still found, and a class that now asks for a key
+//! is found as it was by requests without one: clients learn of the change later than the gateway.
+//!
+//! **Bounds.** The table holds the classes in force, those before the last change, and those of open requests: at most
+//! [`MOST`]. A change that needs more is refused.
+//!
+//! ```
+//! use petrelgauge_lifecycle::rules::{Rules, OVERLAP};
+//! use petrelgauge_policy::{Class, Effect, Need};
+//!
+//! let class = |name: &str, effect| Class {
+//!     name: name.into(), need: Need::Eventual, effect, attempts: 4, aim: 1, deadline: 2, worth: 1.0, late_share: 0.0,
+//! };
+//! let mut rules = Rules::new(vec![class("view", Effect::Safe)]);
+//! let before = rules.find(0, "view", false).expect("it is there");
+//! rules.follow(10, vec![class("view", Effect::Unsafe)], &[before].into()).expect("there is room");
+//! let now = rules.find(10, "view", false).expect("it is there");
+//! assert_eq!((rules.class(before).effect, rules.class(now).effect), (Effect::Safe, Effect::Unsafe));
+//! ```
+
+use petrelgauge_policy::{mutant, Class, Effect, Mutant, Time};
+use std::collections::BTreeSet;
+
+/// Classes in the table at most (count): hundreds of changes within the longest deadline would be a mistake.
+pub const MOST: usize = 256;
+/// Span after a change in which clients may not know of it (microseconds): the platform has them follow after 1.2 s.
+pub const OVERLAP: Time = 2_000_000;
+
+/// The classes in force, and those that open requests still have.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    table: Vec<Class>,
+    /// Places of the classes in force, in the order of the settings.
+    force: Vec<usize>,
+    /// Those in force before the last change, and until when they are found.
+    before: Vec<usize>,
+    until: Time,
+    version: u64,
+}
+
+impl Rules {
+    /// The classes of the start.
+    pub fn new(classes: Vec<Class>) -> Rules {
+        let force = (0..classes.len()).collect();
+        Rules { table: classes, force, before: Vec::new(), until: Time::MIN, version: 1 }
+    }
+
+    /// The table, as the decision module is to have it.
+    pub fn table(&self) -> &[Class] {
+        &self.table
+    }
+
+    /// Counts the settings that were in force, from 1.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The class of a place.
+    pub fn class(&self, place: usize) -> &Class {
+        &self.table[place]
+    }
+
+    /// Places of the classes in force, in the order of the settings.
+    pub fn force(&self) -> &[usize] {
+        &self.force
+    }
+
+    /// The place of the class that a new request names; `keyed`: the request carries a key.
+    pub fn find(&self, now: Time, name: &str, keyed: bool) -> Option<usize> {
+        let named = |places: &[usize]| places.iter().copied().find(|place| self.table[*place].name == name);
+        let before = || named(&self.before).filter(|_| now < self.until);
+        match named(&self.force) {
+            None => before(),
+            Some(place) if keyed || !asks_for_key(self.class(place)) => Some(place),
+            // Its client does not know yet that the class asks for a key.
+            Some(place) => before().filter(|old| !asks_for_key(self.class(*old))).or(Some(place)),
+        }
+    }
+
+    /// New classes are in force from now on; `used` are the places of open requests and attempts. False, and nothing
+    /// has changed, if the table would grow past its bound.
+    pub fn follow(&mut self, now: Time, classes: Vec<Class>, used: &BTreeSet<usize>) -> Result<(), Full> {
+        let mut taken: BTreeSet<usize> = used.iter().chain(&self.force).copied().collect();
+        if now < self.until {
+            taken.extend(&self.before);
+        }
+        if mutant(Mutant::PlaceReused) {
+            taken.clear();
+        }
+        let (mut table, mut force) = (self.table.clone(), Vec::new());
+        for class in &classes {
+            let same = (0..table.len()).find(|place| table[*place] == *class && !force.contains(place));
+            let place =
+                same.unwrap_or_else(|| (0..).find(|place| !taken.contains(place)).unwrap_or_default());
+            taken.insert(place);
+            force.push(place);
+            if place < table.len() {
+                table[place] = class.clone();
+            } else {
+                table.push(class.clone());
+            }
+        }
+        // Nobody asks for what is left over. The module reckons with all classes that it has, so none of another time
+        // may stay among them.
+        while table.len() > taken.iter().max().map_or(0, |last| last + 1) {
+            table.pop();
+        }
+        for place in (0..table.len()).filter(|place| !taken.contains(place)) {
+            table[place] = classes[0].clone();
+        }
+        if table.len() > MOST {
+            return Err(Full);
+        }
+        self.before = std::mem::replace(&mut self.force, force);
+        (self.table, self.until) = (table, now + OVERLAP);
+        self.version += 1;
+        Ok(())
+    }
+}
+
+/// There are open requests of too many classes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Full;
+
+fn asks_for_key(class: &Class) -> bool {
+    matches!(class.effect, Effect::Keyed { .. })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use petrelgauge_policy::{Need, Scope};
+
+    const KEYED: Effect = Effect::Keyed { window: 5_000_000, scope: Scope::Group };
+
+    fn class(name: &str, effect: Effect) -> Class {
+        Class {
+            name: name.into(),
+            need: Need::Eventual,
+            effect,
+            attempts: 4,
+            aim: 1,
+            deadline: 2,
+            worth: 1.0,
+            late_share: 0.0,
+        }
+    }
+
+    fn two() -> Rules {
+        Rules::new(vec![class("a", Effect::Safe), class("b", KEYED)])
+    }
+
+    #[test]
+    fn what_is_the_same_keeps_its_place_and_what_is_in_use_is_left_alone() {
+        let mut rules = two();
+        let classes = vec![class("b", KEYED), class("c", Effect::Safe), class("a", Effect::Unsafe)];
+        rules.follow(0, classes, &[0].into()).expect("room");
+        assert_eq!(rules.find(0, "b", true), Some(1));
+        assert_eq!(rules.class(0).effect, Effect::Safe, "an open request still has it");
+        let places: BTreeSet<usize> = rules.force().iter().copied().collect();
+        assert_eq!((places.len(), rules.table().len(), rules.version()), (3, 4, 2));
+    }
+
+    #[test]
+    fn a_name_that_is_dropped_is_found_until_clients_know_of_it() {
+        let mut rules = two();
+        rules.follow(0, vec![class("b", KEYED)], &BTreeSet::new()).expect("room");
+        assert_eq!(rules.find(OVERLAP - 1, "a", false), Some(0));
+        assert_eq!(rules.find(OVERLAP, "a", false), None);
+    }
+
+    #[test]
+    fn a_class_that_comes_to_ask_for_a_key_is_as_before_for_clients_that_bring_none() {
+        let mut rules = two();
+        rules.follow(0, vec![class("a", KEYED), class("b", KEYED)], &BTreeSet::new()).expect("room");
+        let effect = |at, keyed| rules.find(at, "a", keyed).map(|place| rules.class(place).effect);
+        assert_eq!(effect(0, false), Some(Effect::Safe));
+        assert_eq!(effect(0, true), Some(KEYED));
+        assert_eq!(effect(OVERLAP, false), Some(KEYED), "which then refuses it");
+        // One that always asked for it gets no other rule.
+        assert_eq!(rules.find(0, "b", false), Some(1));
+    }
+
+    #[test]
+    fn the_table_does_not_grow_with_the_number_of_changes_and_has_a_bound() {
+        let mut rules = two();
+        for change in 0..1000 {
+            let classes = vec![class(&format!("n{change}"), Effect::Safe), class("b", KEYED)];
+            rules.follow(change * OVERLAP, classes, &BTreeSet::new()).expect("room");
+        }
+        assert!(rules.table().len() <= 4, "{}", rules.table().len());
+        let version = rules.version();
+        let many = (0..=MOST).map(|number| class(&format!("m{number}"), Effect::Safe)).collect();
+        assert_eq!(rules.follow(0, many, &BTreeSet::new()), Err(Full));
+        assert_eq!((rules.version(), rules.find(0, "b", true)), (version, Some(1)), "nothing has changed");
+    }
+
+    #[test]
+    fn a_place_that_nobody_needs_holds_no_class_of_another_time() {
+        let mut rules = two();
+        rules.follow(0, vec![class("c", Effect::Safe)], &[1].into()).expect("room");
+        rules.follow(OVERLAP, vec![class("c", Effect::Safe)], &[1].into()).expect("room");
+        assert_eq!(rules.table()[0].name, "c");
+        assert_eq!(rules.class(1).name, "b");
+    }
+}
--- a/crates/models/src/attempts.rs
+++ b/crates/models/src/attempts.rs
@@ -106,17 +106,28 @@
     broken: Option<&'static str>,
 }
 
+/// Most attempts for one request.
+const MOST: usize = 3;
+
 fn class(name: &str, need: Need, effect: Effect, aim: Time) -> Class {
-    Class { name: name.into(), need, effect, aim, deadline: 8_000_000, worth: 2.0, late_share: 0.5 }
+    Class {
+        name: name.into(),
+        need,
+        effect,
+        attempts: MOST as u32,
+        aim,
+        deadline: 8_000_000,
+        worth: 2.0,
+        late_share: 0.5,
+    }
 }
 
 impl Play {
     fn new(classes: Vec<Class>, leads: MemberId, changes: &[Change], may_leave: bool, left: Time) -> Play {
         let writes = classes.iter().map(|class| class.effect).collect();
-        let most = 3;
+        let most = MOST;
         let set = Settings {
             granularity: GRANULE,
-            attempts: most as u32,
             drain_grace: GRACE,
             classes: classes.clone(),
             ..Settings::default()
--- a/crates/models/src/lib.rs
+++ b/crates/models/src/lib.rs
@@ -9,8 +9,9 @@
 //! | --- | --- |
 //! | `attempts.rs` | requests, members and attempts before the real decision module: models `attempt`, `primary`, `desk` |
 //! | `connection.rs` | one connection that is used again: model `connection` |
-//! | `stop.rs` | SIGTERM and reload with requests open: model `stop` |
+//! | `stop.rs` | SIGTERM, drain, resume and reload with requests open: model `stop` |
 //! | `marks.rs` | sessions' marks between two instances: model `marks` |
+//! | `rules.rs` | settings that change under open requests: model `rules` |
 //! | `coverage.rs` | the transitions that the models take, against those that there are |
 //! | `check.rs` | the checker, its report, and how a run is told and replayed |
 //!
@@ -21,6 +22,7 @@
 pub mod connection;
 pub mod coverage;
 pub mod marks;
+pub mod rules;
 pub mod stop;
 
 use check::Report;
@@ -46,7 +48,7 @@
 }
 
 /// All models.
-pub const MODELS: [Named; 6] = [
+pub const MODELS: [Named; 7] = [
     Named {
         name: "attempt",
         plays: "one payment, two members, three attempts, one drain; time-out against late answer",
@@ -69,9 +71,14 @@
     },
     Named {
         name: "stop",
-        plays: "SIGTERM and reloads while clients come, ask, wait and leave",
+        plays: "SIGTERM, drain, resume and reloads while clients come, ask, wait and leave",
         run: stop::run,
     },
+    Named {
+        name: "rules",
+        plays: "three changes of settings while two requests come, stay open and end",
+        run: rules::run,
+    },
     Named {
         name: "marks",
         plays: "two instances, one session; messages lost, late and out of order, one restart",
@@ -95,7 +102,10 @@
         | Mutant::SurplusReused
         | Mutant::CopyTaken
         | Mutant::OldReused => "connection",
-        Mutant::ClosedWhileOwed | Mutant::ClosedUnread | Mutant::EndsWhileHeld => "stop",
+        Mutant::ClosedWhileOwed | Mutant::ClosedUnread | Mutant::EndsWhileHeld | Mutant::StaysDrained => {
+            "stop"
+        }
+        Mutant::PlaceReused => "rules",
         Mutant::MergeLowers | Mutant::LossForgotten | Mutant::GapPassed | Mutant::BehindGiven => "marks",
     }
 }
--- a/crates/models/src/stop.rs
+++ b/crates/models/src/stop.rs
@@ -1,4 +1,4 @@
-//! Model `stop`: SIGTERM and reloads while clients come, ask, wait and leave. The machines of the gateway, of each
+//! Model `stop`: SIGTERM, draining, resuming and reloads while clients come, ask, wait and leave. The machines of the gateway, of each
 //! client's connection and of its request are the gateway's.
 
 use crate::check::{check, Report, World};
@@ -14,6 +14,7 @@
 const HELD: &str = "the gateway ends only when nothing is held";
 const OLD: &str = "a file that cannot be used changes nothing";
 const ENDS: &str = "after SIGTERM it ends";
+const BACK: &str = "a gateway that was called back admits clients, and one that drains does not";
 
 /// An event.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -38,6 +39,10 @@
     Idle(usize),
     /// SIGTERM.
     Term,
+    /// The staff calls drain.
+    Drain,
+    /// The staff calls resume.
+    Resume,
     /// SIGHUP with a file that can, or cannot, be used.
     Reload(bool),
     /// The last clients' time is over.
@@ -58,10 +63,10 @@
 struct Stops {
     now: Time,
     gateway: Gateway,
-    closing: bool,
     clients: Vec<At>,
     queries: Vec<u8>,
     reloads: u8,
+    drains: u8,
     discovery: u8,
     broken: Option<&'static str>,
 }
@@ -107,7 +112,7 @@
 impl World for Stops {
     type Move = Move;
 
-    const PROPERTIES: &'static [&'static str] = &[ANSWERED, ONCE, HELD, OLD, ENDS];
+    const PROPERTIES: &'static [&'static str] = &[ANSWERED, ONCE, HELD, OLD, ENDS, BACK];
 
     fn moves(&self) -> Vec<Move> {
         let mut moves = Vec::new();
@@ -118,7 +123,7 @@
         for (place, at) in self.clients.iter().enumerate() {
             match at {
                 // The front deals out no connection once it has learned of the stop.
-                At::Away if !self.closing => moves.push(Move::Connects(place)),
+                At::Away if self.gateway.door() != gateway::Door::Shut => moves.push(Move::Connects(place)),
                 At::Away | At::Gone => {}
                 At::Backlog => moves.push(Move::Accepted(place)),
                 At::Open { life, unread, asked } => {
@@ -131,7 +136,7 @@
                     } else if *unread > 0 {
                         moves.push(Move::Heard(place));
                     }
-                    if self.closing {
+                    if self.gateway.door().empties() {
                         moves.push(Move::Stopped(place));
                     }
                     if life.stage() == Stage::Idle {
@@ -141,8 +146,16 @@
             }
         }
         match stage {
-            gateway::Stage::Serving => {
+            gateway::Stage::Serving | gateway::Stage::Turning { .. } | gateway::Stage::Empty => {
                 moves.push(Move::Term);
+                if self.gateway.due().is_some() {
+                    moves.push(Move::Due);
+                }
+                match stage {
+                    gateway::Stage::Serving if self.drains > 0 => moves.push(Move::Drain),
+                    gateway::Stage::Serving => {}
+                    _ => moves.push(Move::Resume),
+                }
                 if self.reloads > 0 {
                     moves.extend([Move::Reload(true), Move::Reload(false)]);
                 }
@@ -191,6 +204,19 @@
                 self.tell(place, told);
             }
             Move::Term => drop(self.gateway.on(now, gateway::Event::Stop)),
+            Move::Drain => {
+                self.drains -= 1;
+                self.gateway.on(now, gateway::Event::Drain);
+                if self.gateway.door().admits() {
+                    self.broken = Some(BACK);
+                }
+            }
+            Move::Resume => {
+                self.gateway.on(now, gateway::Event::Resume);
+                if !self.gateway.door().admits() {
+                    self.broken = Some(BACK);
+                }
+            }
             Move::Reload(usable) => {
                 self.reloads -= 1;
                 let before = self.discovery;
@@ -203,7 +229,7 @@
             }
             Move::Due => {
                 self.now = self.gateway.due().unwrap_or(now);
-                self.closing |= self.gateway.on(self.now, gateway::Event::Due) == gateway::Do::Close;
+                self.gateway.on(self.now, gateway::Event::Due);
             }
             Move::Looks => {
                 let (clients, attempts) = self.held();
@@ -231,6 +257,8 @@
             Move::Stopped(place) => format!("client {place} is to be closed for the stop"),
             Move::Idle(place) => format!("client {place} has been idle for its span"),
             Move::Term => "SIGTERM".into(),
+            Move::Drain => "the staff calls drain".into(),
+            Move::Resume => "the staff calls resume".into(),
             Move::Reload(usable) => format!("SIGHUP; the file can be used: {usable}"),
             Move::Due => "the span of the last clients is over".into(),
             Move::Looks => "the gateway looks whether anything is held".into(),
@@ -252,10 +280,10 @@
     let start = Stops {
         now: 1_000_000,
         gateway: Gateway::default(),
-        closing: false,
         clients: vec![At::Away; count],
         queries: vec![2; count],
         reloads: 2,
+        drains: 1,
         discovery: 0,
         broken: None,
     };
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -55,7 +55,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Its name; never looked at by the decisions.
     pub name: String,
@@ -63,6 +63,8 @@
     pub need: Need,
     /// What a repeat does.
     pub effect: Effect,
+    /// Most attempts for one request.
+    pub attempts: u32,
     /// An answer within this span earns the full worth.
     pub aim: Time,
     /// How long a client waits in all, over all its tries.
@@ -108,8 +110,6 @@
     pub zone: String,
     /// Least span between two batches.
     pub granularity: Time,
-    /// Most attempts for one request.
-    pub attempts: u32,
     /// Most requests that clients can hold open at this router.
     pub most_open: u32,
     /// Attempts may be called off.
@@ -161,7 +161,6 @@
             routers: 1,
             zone: String::new(),
             granularity: 5_000,
-            attempts: 4,
             most_open: 20_000,
             may_call_off: true,
             may_overlap: false,
@@ -201,7 +200,7 @@
             }
         }
         let figures = [
-            (self.attempts > 0, "the most attempts"),
+            (self.classes.iter().all(|class| class.attempts > 0), "the most attempts"),
             ((1..=MOST_ROUTERS).contains(&self.routers), "the number of routers"),
             (self.granularity > 0, "the granularity"),
             (self.overload_factor > 0.0, "the overload factor"),
@@ -215,7 +214,7 @@
 }
 
 /// Why a router could not be made.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum SettingsError {
     /// No class at all.
     NoClasses,
@@ -323,8 +322,6 @@
         /// Its lines.
         entries: Arc<[Entry]>,
     },
-    /// A call for the list failed.
-    ListFailed,
     /// New work.
     Request {
         /// Its name.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 //!         name: "page-read".into(),
 //!         need: Need::Bounded(300_000),
 //!         effect: Effect::Safe,
+//!         attempts: 4,
 //!         aim: 200_000,
 //!         deadline: 1_000_000,
 //!         worth: 1.0,
--- a/crates/policy/src/mutant.rs
+++ b/crates/policy/src/mutant.rs
@@ -48,11 +48,15 @@
     ClosedUnread,
     /// The gateway ends while something is held.
     EndsWhileHeld,
+    /// A drained gateway does not come back.
+    StaysDrained,
+    /// A class takes the place of one that an open request has.
+    PlaceReused,
 }
 
 impl Mutant {
     /// All of them.
-    pub const ALL: [Mutant; 22] = [
+    pub const ALL: [Mutant; 24] = [
         Mutant::DrainIgnored,
         Mutant::WindowIgnored,
         Mutant::UnsafeRepeated,
@@ -75,6 +79,8 @@
         Mutant::ClosedWhileOwed,
         Mutant::ClosedUnread,
         Mutant::EndsWhileHeld,
+        Mutant::StaysDrained,
+        Mutant::PlaceReused,
     ];
 }
 
--- a/crates/policy/src/router/list.rs
+++ b/crates/policy/src/router/list.rs
@@ -74,7 +74,6 @@
         let now = self.now;
         let out = self.outs.remove(&(request.clone(), *attempt));
         let spoke = matches!(ending, Ending::Served | Ending::Error | Ending::Full | Ending::TurnedAway);
-        let seq = self.names.get(request).copied();
         let write = out.as_ref().is_some_and(|o| self.set.classes[o.class].need == Need::Write);
         if spoke {
             let commit = write && *ending == Ending::Served;
@@ -148,7 +147,7 @@
                 member.barred_until = now + (self.set.granularity << member.strikes);
             }
         }
-        let Some(seq) = seq else { return };
+        let Some(seq) = self.names.get(request).copied() else { return };
         let Some(req) = self.requests.get_mut(&seq) else { return };
         let never_ran =
             matches!(ending, Ending::Full | Ending::Unreached | Ending::NotSent | Ending::TurnedAway);
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -122,14 +122,8 @@
 impl Router {
     /// A router that knows nothing yet. The seed is its only source of chance.
     pub fn new(settings: Settings, seed: u64) -> Result<Router, SettingsError> {
-        settings.check()?;
         let never = Time::MIN / 2;
-        Ok(Router {
-            typical_try: vec![0; settings.classes.len()],
-            silence: settings.classes.iter().map(|c| c.aim).max().unwrap_or(0) / 2,
-            brief: settings.classes.iter().map(|c| c.aim).min().unwrap_or(0),
-            part: (FEW / settings.routers as f64).powf(RARE).min(1.0),
-            set: settings,
+        let mut router = Router {
             rng: Dice::seed_from_u64(seed),
             asked_at: never,
             // Some probes in advance, for a router that starts in the middle of trouble.
@@ -137,7 +131,19 @@
             noted_at: never,
             watched_at: never,
             ..Router::default()
-        })
+        };
+        router.follow(settings).map(|()| router)
+    }
+
+    /// These hold from now on. Classes that requests or attempts out still have must keep their places.
+    pub fn follow(&mut self, settings: Settings) -> Result<(), SettingsError> {
+        settings.check()?;
+        self.typical_try = vec![0; settings.classes.len()];
+        self.silence = settings.classes.iter().map(|c| c.aim).max().unwrap_or(0) / 2;
+        self.brief = settings.classes.iter().map(|c| c.aim).min().unwrap_or(0);
+        self.part = (FEW / settings.routers as f64).powf(RARE).min(1.0);
+        self.set = settings;
+        Ok(())
     }
 
     /// Takes one batch of events, all at `now`, and appends what is to be done.
@@ -146,13 +152,11 @@
         for event in events {
             match event {
                 Event::List { whole, entries } => self.list(*whole, entries),
-                Event::ListFailed => {}
                 Event::Request { .. } => self.request(event),
                 Event::Outcome { .. } => self.outcome(event),
                 Event::Floor { request, floor } => {
-                    if let Some(req) = self.names.get(request).and_then(|seq| self.requests.get_mut(seq)) {
-                        req.mark = req.mark.map(|mark| mark.min(*floor));
-                    }
+                    let open = self.names.get(request).and_then(|seq| self.requests.get_mut(seq));
+                    open.into_iter().for_each(|req| req.mark = req.mark.map(|mark| mark.min(*floor)));
                 }
                 Event::Withdrawn { request } => {
                     self.names.get(request).copied().into_iter().for_each(|seq| self.close(seq));
--- a/crates/policy/src/router/pick.rs
+++ b/crates/policy/src/router/pick.rs
@@ -66,9 +66,6 @@
 
     /// One read: trials over the usable members, the smallest R that passes, and the pick.
     pub(super) fn pick(&mut self, need: Option<Time>, usable: &[MemberId], lent: bool) -> Option<MemberId> {
-        if usable.is_empty() {
-            return None;
-        }
         let count = usable.len();
         let (mut own, mut first_fresh) = (vec![0u32; count], vec![0u32; count]);
         for _ in 0..TRIALS {
@@ -99,8 +96,8 @@
     pub(super) fn place_read(&mut self, seq: u64) -> Option<MemberId> {
         let req = self.requests.get(&seq)?;
         let primary = self.primary(req.group);
-        let last = req.attempts.len() + 1 >= self.set.attempts as usize;
         let class = &self.set.classes[req.class];
+        let last = req.attempts.len() + 1 >= class.attempts as usize;
         let by = req.born + self.set.hold.min(share_of(class.aim, HOLD));
         let held = req.mark.filter(|_| !last && self.now < by);
         let fit = req.attempts.is_empty() && class.effect == Effect::Safe && class.aim <= 2 * self.brief;
--- a/crates/policy/src/router/primary.rs
+++ b/crates/policy/src/router/primary.rs
@@ -29,8 +29,8 @@
     pub(super) fn place_at_primary(&mut self, seq: u64) -> Option<MemberId> {
         let req = self.requests.get(&seq)?;
         let group = req.group;
-        let write = self.set.classes[req.class].need == Need::Write;
-        let pause = self.set.classes[req.class].aim / 8;
+        let class = &self.set.classes[req.class];
+        let (write, pause) = (class.need == Need::Write, class.aim / 8);
         if let Some(primary) = self.primary(group) {
             if self.well(primary) {
                 let free = self.room(primary, if write { 1.0 } else { READ_ROOM });
@@ -46,7 +46,7 @@
         if !write && self.set.behind == Behind::Serve {
             return None;
         }
-        let spent = req.attempts.len() + 2 > self.set.attempts as usize;
+        let spent = req.attempts.len() + 2 > class.attempts as usize;
         if spent || self.now - self.groups.get(&group)?.scout_at < pause / 2 {
             return None;
         }
--- a/crates/policy/src/router/sends.rs
+++ b/crates/policy/src/router/sends.rs
@@ -15,7 +15,7 @@
         let Some(member) = self.members.get(&id) else { return false };
         let class = &self.set.classes[req.class];
         // Rule 1: only an open request, and only while its client waits.
-        let in_time = self.now < req.end && req.attempts.len() < self.set.attempts as usize;
+        let in_time = self.now < req.end && req.attempts.len() < class.attempts as usize;
         // Rule 2: no second effect, no second copy where there may be none.
         let alone = self.set.may_overlap || mutant(SecondCopy) || !req.attempts.iter().any(|a| a.out);
         let first_run = req.attempts.iter().find(|a| a.out || a.may_have_run);
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -52,7 +52,8 @@
 
 impl Fleet {
     fn new(count: usize, entries: &[Entry], members: Vec<(MemberId, bool, usize, Time)>) -> Fleet {
-        let mut settings = Settings { routers: count as u32, may_probe: false, attempts: 8, ..settings() };
+        let mut settings = Settings { routers: count as u32, may_probe: false, ..settings() };
+        settings.classes.iter_mut().for_each(|class| class.attempts = 8);
         // Writes are wanted soon and waited for long.
         settings.classes[5].deadline = 3_000 * MS;
         settings.classes[5].effect = Effect::Keyed { window: 5_000 * MS, scope: Scope::Group };
--- a/crates/policy/tests/trouble.rs
+++ b/crates/policy/tests/trouble.rs
@@ -181,7 +181,6 @@
     let mut stage = Stage::new(settings());
     stage.end("never-seen", 3, 99, Ending::Served);
     stage.play(Event::Withdrawn { request: "never-seen".into() });
-    stage.play(Event::ListFailed);
     stage.play(Event::Probed { member: 99, ending: Ending::TimedOut, report: Report::default() });
     stage.play(Event::List { whole: true, entries: [].into() });
     let odd = Report { position: Some(Time::MAX), role: None, waiting: Some(f64::NAN), busy: None };
@@ -215,8 +214,9 @@
         assert_eq!(Router::new(bad, 1).err(), Some(SettingsError::BadFigure("the number of routers")));
     }
     assert!(Router::new(Settings { routers: 100, ..settings() }, 1).is_ok());
-    let bad = Settings { attempts: 0, ..settings() };
-    assert!(matches!(Router::new(bad, 1).err(), Some(SettingsError::BadFigure(_))));
+    let mut bad = settings();
+    bad.classes[1].attempts = 0;
+    assert_eq!(Router::new(bad, 1).err(), Some(SettingsError::BadFigure("the most attempts")));
 }
 
 #[test]
--- a/src/bin/petrelgauge-benchlink/wire.rs
+++ b/src/bin/petrelgauge-benchlink/wire.rs
@@ -199,8 +199,9 @@
         }
         let known = self.instances.get_mut(&i).ok_or("event before its Configure")?;
         events.push(match wire {
+            // A call for the list failed: the last one holds.
+            Wire::Membership { mode, .. } if mode == "X" => return Ok(()),
             Wire::Membership { mode, slot } => match mode.as_str() {
-                "X" => Event::ListFailed,
                 "D" | "F" | "C" => {
                     let page = self.pages.get(&slot).ok_or(format!("slot: no Page {slot} was defined"))?;
                     Event::List { whole: mode != "D", entries: page.clone() }
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -7,7 +7,7 @@
 //! Whoever owns the facade calls [`Facade::tick`] at the time it names, or when [`Facade::woken`] returns.
 
 use petrelgauge_lifecycle::desk::{Desk, Order, Send};
-pub use petrelgauge_lifecycle::desk::{Outcome, Request, Visit};
+pub use petrelgauge_lifecycle::desk::{NotTaken, Outcome, Request, Visit};
 use petrelgauge_policy::*;
 use petrelgauge_sessions::{BulletinError, Counts, Keeper, Key, Snapshot, TokenError, Wallet};
 use std::cell::RefCell;
@@ -60,6 +60,23 @@
         Ok(Facade(Rc::new(Inner { desk, asking, callers, woken: Notify::new() })))
     }
 
+    /// New settings hold from now on; see [`Desk::follow`].
+    pub fn follow(&self, now: Time, settings: Settings, carrying: &[usize]) -> Result<(), NotTaken> {
+        self.0.desk.borrow_mut().follow(now, settings, carrying)?;
+        self.0.woken.notify_one();
+        Ok(())
+    }
+
+    /// The place of the class that a new request names, and the class; see [`Desk::find`].
+    pub fn find(&self, now: Time, name: &str, keyed: bool) -> Option<(usize, Class)> {
+        self.0.desk.borrow().find(now, name, keyed)
+    }
+
+    /// Counts the settings that were in force, from 1.
+    pub fn version(&self) -> u64 {
+        self.0.desk.borrow().version()
+    }
+
     /// Whether requests of the class of this place carry sessions.
     pub fn carries(&self, class: usize) -> bool {
         self.0.desk.borrow().carries(class)
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,19 +9,22 @@
 use petrelgauge::net::discovery::Follower;
 use petrelgauge::net::front::Front;
 use petrelgauge::net::hosts::Hosts;
+use petrelgauge::net::inherited;
+use petrelgauge::net::ops::Ops;
 use petrelgauge::net::peers::Peers;
 use petrelgauge::net::room::Room;
-use petrelgauge::{Class, Need, Time};
+use petrelgauge::{Class, Need, Settings, Time};
 use petrelgauge_lifecycle::backoff::Backoff;
-use petrelgauge_lifecycle::gateway::{Do, Event, Gateway, Stage};
+use petrelgauge_lifecycle::gateway::{Do, Door, Event, Gateway, Stage};
+use petrelgauge_lifecycle::ops::{self, Known, MOST_CALLERS};
 use petrelgauge_sessions::{Keeper, SettingsError};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
 /// Between two looks for idle connections that are of no more use, for clients that are too many, and at what is
@@ -29,15 +32,18 @@
 const SWEEP: Time = 500_000;
 const THIN_OUT: Time = 50_000;
 const LOOK: Time = 10_000;
+/// Span after the start in which the staff is told that the list may be old, while discovery has not spoken yet.
+const LIST_PATIENCE: Time = 1_500_000;
 /// Connections that the kernel holds ready.
 const BACKLOG: u32 = 1024;
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let ran = Config::read(|name| std::env::var(name).ok()).and_then(|config| {
+        let inherited = inherited::listener(|name| std::env::var(name).ok())?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|cause| format!("cannot start: {cause}"))?;
-        tokio::task::LocalSet::new().block_on(&runtime, run(config))
+        tokio::task::LocalSet::new().block_on(&runtime, run(config, inherited))
     });
     match ran {
         Ok(()) => ExitCode::SUCCESS,
@@ -48,17 +54,13 @@
     }
 }
 
-async fn run(config: Config) -> Result<(), String> {
-    let mut settings = config.info.settings().map_err(|cause| format!("settings: {cause}"))?;
-    // The protocol has no probes, and the watch of discovery is always open.
-    settings.may_probe = false;
-    settings.list_on_request = false;
-    // Clients hold at most a third of the descriptors.
-    settings.most_open = settings.most_open.min(config.sockets as u32 / 3);
+async fn run(mut config: Config, inherited: Option<std::net::TcpListener>) -> Result<(), String> {
+    let mut settings = settings(&config)?;
     let (classes, gateways) = (settings.classes.clone(), settings.routers);
     let clock = Clock::start().ahead(config.operator.clock_shift);
     let (sessions, others) = sessions(&config, &classes, clock.now())?;
-    settings.hold = sessions.as_ref().map_or(0, |(keeper, _)| keeper.settings().hold);
+    let hold = sessions.as_ref().map_or(0, |(keeper, _)| keeper.settings().hold);
+    settings.hold = hold;
     let facade = Facade::with_sessions(settings, config.seed, sessions)
         .map_err(|cause| format!("settings: {cause}"))?;
     let counters = Rc::new(Counters::default());
@@ -68,9 +70,17 @@
     let hosts = Hosts::new(clock, budget.clone(), counters.clone(), room.clone(), connect, idle);
     let backoff = Backoff::new(gateways, config.seed.rotate_left(32));
     let follower =
-        Follower::new(facade.clone(), hosts.clone(), counters.clone(), clock, config.known, backoff);
-    let (stop, stopping) = watch::channel(false);
-    let listener = listen(config.listen).map_err(|cause| format!("cannot listen: {cause}"))?;
+        Follower::new(facade.clone(), hosts.clone(), counters.clone(), clock, config.known.take(), backoff);
+    let told = follower.told();
+    let heard = told.clone();
+    let patience_until = clock.now() + LIST_PATIENCE;
+    let mut reread: Result<Config, String> = Err(String::new());
+    let (doors, door) = watch::channel(Door::Open);
+    // Where the platform holds the socket, another process of this gateway may accept from it as well.
+    let shared = inherited.is_some();
+    let listener = inherited.map_or_else(|| listen(config.listen), TcpListener::from_std);
+    let listener = listener.map_err(|cause| format!("cannot listen: {cause}"))?;
+    let (desk, mut asked) = mpsc::channel(MOST_CALLERS);
     let (mut term, mut interrupt, mut usr1, mut hangup) = (
         on(SignalKind::terminate())?,
         on(SignalKind::interrupt())?,
@@ -79,7 +89,6 @@
     );
     let (discovery, moved) = watch::channel(config.discovery);
 
-    let mut reloaded: Result<SocketAddr, String> = Err(String::new());
     let mut tasks = JoinSet::new();
     tasks.spawn_local(follower.follow(moved));
     tasks.spawn_local(keep_time(facade.clone(), clock));
@@ -88,44 +97,63 @@
         let peers = Peers::new(listen, others).await?;
         tasks.spawn_local(peers.talk(facade.clone(), clock, counters.clone()));
     }
+    // Held here also where nobody listens: the row of calls must not end.
+    let ops = Ops { desk, hosts: hosts.clone(), clock, counters: counters.clone() };
+    let _desk = ops.desk.clone();
+    if let Some(address) = config.ops {
+        let listener =
+            listen(address).map_err(|cause| format!("ops: cannot listen at {address}: {cause}"))?;
+        tasks.spawn_local(ops.accept(listener));
+    }
     let seen = facade.clone();
     let print = move |counters: &Counters| match seen.session_counts() {
         Some((sessions, gaps)) => log::info!("{counters} {sessions} gaps={gaps}"),
         None => log::info!("{counters}"),
     };
     let front = Rc::new(Front {
-        facade,
+        facade: facade.clone(),
         hosts: hosts.clone(),
         clock,
         budget,
         counters: counters.clone(),
-        classes,
         room,
-        stopping,
+        door,
         open: Gauge::default(),
         ids: RefCell::default(),
     });
-    tasks.spawn_local(front.clone().accept(listener));
+    let accepted = front.clone();
+    tasks.spawn_local(async move {
+        // Beside a process that still serves, clients are accepted only from when they can be served.
+        while shared && hosts_are_missing(&accepted.hosts, &heard, clock, patience_until) {
+            clock.sleep_until(clock.now() + LOOK).await;
+        }
+        accepted.accept(listener, shared).await
+    });
     log::info!("{} serves at {}", config.name, config.listen);
 
-    let mut life = Gateway::default();
+    let mut life = Gateway::new(shared);
     loop {
+        doors.send_if_modified(|door| std::mem::replace(door, life.door()) != life.door());
         let due = life.due();
         let event = tokio::select! {
             _ = usr1.recv() => {
                 print(&counters);
                 continue;
             }
-            _ = hangup.recv() => match Config::reread(|name| std::env::var(name).ok()) {
-                Ok(config) => {
-                    reloaded = Ok(config.discovery);
-                    Event::Reload { usable: true }
-                }
-                Err(cause) => {
-                    reloaded = Err(cause);
-                    Event::Reload { usable: false }
+            _ = hangup.recv() => {
+                reread = config.reread(|name| std::env::var(name).ok());
+                Event::Reload { usable: reread.is_ok() }
+            }
+            Some((call, answer)) = asked.recv() => {
+                let known = Known { hosts: hosts.named(), told: told.get(), patience_until, version: facade.version() };
+                let (reply, to_do) = ops::call(&mut life, clock.now(), call, known);
+                if to_do == Do::Doors {
+                    log::info!("{call:?}: {}", reply.reason);
                 }
-            },
+                // A caller that has left needs no answer.
+                let _ = answer.send(reply);
+                continue;
+            }
             _ = term.recv() => Event::Stop,
             _ = interrupt.recv() => Event::Stop,
             () = clock.sleep_until(due.unwrap_or_default()), if due.is_some() => Event::Due,
@@ -138,10 +166,27 @@
             }
         };
         match life.on(clock.now(), event) {
-            Do::Wait if event == Event::Stop => log::info!("stopping"),
-            Do::Wait => {}
-            Do::Take | Do::Keep => reload(&reloaded, &discovery, &counters),
-            Do::Close => drop(stop.send(true)),
+            Do::Doors if event == Event::Stop => log::info!("stopping"),
+            Do::Doors | Do::Wait => {}
+            Do::Take | Do::Keep => {
+                let new = std::mem::replace(&mut reread, Err(String::new()));
+                match new.and_then(|new| reload(new, &config, hold, clock.now(), &facade, &hosts)) {
+                    Ok(new) => {
+                        counters.reloads.add();
+                        let (at, version) = (new.discovery, facade.version());
+                        log::info!("configuration read again, discovery is at {at}, settings {version} hold");
+                        discovery.send_if_modified(|known| std::mem::replace(known, at) != at);
+                        config = new;
+                    }
+                    Err(cause) => {
+                        counters.bad_configs.add();
+                        let version = facade.version();
+                        log::warn!(
+                            "the new configuration cannot be used, settings {version} hold on: {cause}"
+                        );
+                    }
+                }
+            }
             Do::End => break,
         }
     }
@@ -157,7 +202,7 @@
 fn sessions(config: &Config, classes: &[Class], now: Time) -> Result<Kept, String> {
     let refused = |cause: SettingsError| format!("sessions: {cause}");
     if let Some(set) = &config.operator.sessions {
-        let (places, mut settings) = (set.places(classes)?, set.settings.clone());
+        let (places, mut settings) = (carrying(config, classes)?, set.settings.clone());
         let mut exchange = None;
         if set.peers {
             let listen = config.peer_listen.ok_or("sessions: the configuration names no peer_listen")?;
@@ -168,15 +213,27 @@
         }
         return Ok((Some((Keeper::new(settings, now).map_err(refused)?, places)), exchange));
     }
-    if !classes.iter().any(|class| class.need == Need::Session) || !config.info.remembers_sessions() {
+    let places = carrying(config, classes)?;
+    if places.is_empty() {
         return Ok((None, None));
     }
     let settings = petrelgauge_sessions::Settings { roams: false, tokens: false, ..Default::default() };
-    let carrying = |place: &usize| matches!(classes[*place].need, Need::Write | Need::Session);
-    let places = (0..classes.len()).filter(carrying).collect();
     Ok((Some((Keeper::new(settings, 0).map_err(refused)?, places)), None))
 }
 
+/// Places of the classes that carry sessions: those that the operator names, or else those that the deployment asks
+/// for by itself.
+fn carrying(config: &Config, classes: &[Class]) -> Result<Vec<usize>, String> {
+    if let Some(set) = &config.operator.sessions {
+        return set.places(classes);
+    }
+    if !classes.iter().any(|class| class.need == Need::Session) || !config.info.remembers_sessions() {
+        return Ok(Vec::new());
+    }
+    let carrying = |place: &usize| matches!(classes[*place].need, Need::Write | Need::Session);
+    Ok((0..classes.len()).filter(carrying).collect())
+}
+
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // A gateway that starts again finds connections of its last run still winding up.
@@ -189,20 +246,43 @@
     signal(kind).map_err(|cause| format!("cannot listen to signals: {cause}"))
 }
 
-/// The configuration was read again. Only the address of discovery may move while the gateway runs; a file that cannot
-/// be used changes nothing.
-fn reload(read: &Result<SocketAddr, String>, discovery: &watch::Sender<SocketAddr>, counters: &Counters) {
-    match read {
-        Ok(address) => {
-            counters.reloads.add();
-            log::info!("configuration read again, discovery is at {address}");
-            discovery.send_if_modified(|known| std::mem::replace(known, *address) != *address);
-        }
-        Err(cause) => {
-            counters.bad_configs.add();
-            log::warn!("the new configuration cannot be used, the old one holds: {cause}");
-        }
+/// The settings of a configuration, as this gateway keeps them.
+fn settings(config: &Config) -> Result<Settings, String> {
+    let mut settings = config.info.settings().map_err(|cause| format!("settings: {cause}"))?;
+    // The protocol has no probes, and the watch of discovery is always open.
+    settings.may_probe = false;
+    settings.list_on_request = false;
+    // Clients hold at most a third of the descriptors.
+    settings.most_open = settings.most_open.min(config.sockets as u32 / 3);
+    Ok(settings)
+}
+
+/// The configuration was read again: its settings hold from now on, or nothing has changed. Gives what is in force.
+fn reload(
+    new: Config,
+    old: &Config,
+    hold: Time,
+    now: Time,
+    facade: &Facade,
+    hosts: &Hosts,
+) -> Result<Config, String> {
+    let mut settings = settings(&new)?;
+    let carrying = carrying(&new, &settings.classes)?;
+    (settings.hold, settings.most_open) = (hold, settings.most_open.min(old.sockets as u32 / 3));
+    let (connect, idle) = (new.info.connect_span(), new.info.idle_span());
+    facade.follow(now, settings, &carrying).map_err(|cause| format!("settings: {cause}"))?;
+    hosts.follow(connect, idle);
+    let unmoved = old.unmoved(&new);
+    if !unmoved.is_empty() {
+        log::warn!("only a start can follow the new {}", unmoved.join(", "));
     }
+    // What only a start can follow stays as it was, to be named again by the next file.
+    Ok(old.with(new))
+}
+
+/// Whether a gateway that shares its socket should leave clients to the other process for now.
+fn hosts_are_missing(hosts: &Hosts, told: &Cell<bool>, clock: Clock, patience_until: Time) -> bool {
+    clock.now() < patience_until && (hosts.named() == 0 || !told.get())
 }
 
 /// Steps the decisions when something came in or a timer is due.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -4,6 +4,8 @@
 use crate::operator::Operator;
 use crate::settings::Info;
 use serde::Deserialize;
+use serde_json::Value;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// All that a gateway is told.
@@ -15,6 +17,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where the staff calls, if it does.
+    pub ops: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors it may hold.
@@ -25,6 +29,8 @@
     pub known: Option<List>,
     /// The settings.
     pub info: Info,
+    /// The keys that they have, by their paths.
+    keys: BTreeSet<String>,
     /// Where other instances reach this one, and where it reaches all of them, its own place among them.
     pub peer_listen: Option<SocketAddr>,
     /// One address for each instance, in the order of their numbers.
@@ -38,11 +44,12 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    ops: Option<String>,
     seed: String,
     #[serde(default)]
     limits: Limits,
     known: Option<List>,
-    settings: Info,
+    settings: Value,
     peer_listen: Option<String>,
     #[serde(default)]
     peers: Vec<String>,
@@ -76,13 +83,37 @@
     }
 
     /// Reads the file anew while the program runs. The environment still is that of the start, so that for
-    /// discovery, which may move, the file goes first.
-    pub fn reread(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    /// discovery, which may move, the file goes first. Settings that lack a key which those in force have are taken
+    /// for a part of a file: what is left out would quietly become a default.
+    pub fn reread(&self, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let config = Config::load(var, First::File)?;
+        if let Some(key) = self.keys.difference(&config.keys).next() {
+            return Err(format!("settings: {key} is missing"));
+        }
         let sound = config.info.settings().and_then(|settings| settings.check().map_err(|e| e.to_string()));
         sound.map(|()| config).map_err(|cause| format!("settings: {cause}"))
     }
 
+    /// What the new file says that only a start can follow.
+    pub fn unmoved(&self, new: &Config) -> Vec<&'static str> {
+        let differs = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("ops", self.ops != new.ops),
+            ("limits", (self.sockets, self.memory) != (new.sockets, new.memory)),
+            ("peers", (self.peer_listen, &self.peers) != (new.peer_listen, &new.peers)),
+        ];
+        differs.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
+    }
+
+    /// This one with what a running gateway follows of the new one.
+    pub fn with(&self, new: Config) -> Config {
+        let (name, peers) = (self.name.clone(), self.peers.clone());
+        let (listen, ops, peer_listen) = (self.listen, self.ops, self.peer_listen);
+        let (sockets, memory, seed) = (self.sockets, self.memory, self.seed);
+        Config { name, peers, listen, ops, peer_listen, sockets, memory, seed, known: None, ..new }
+    }
+
     fn load(var: impl Fn(&str) -> Option<String>, first: First) -> Result<Config, String> {
         let path = var("GW_CONFIG").ok_or("GW_CONFIG is not set: it names the configuration file")?;
         let text = std::fs::read_to_string(&path).map_err(|cause| format!("cannot read {path}: {cause}"))?;
@@ -93,6 +124,9 @@
 
     fn parse(text: &str, var: impl Fn(&str) -> Option<String>, first: First) -> Result<Config, String> {
         let file: File = serde_json::from_str(text).map_err(|cause| cause.to_string())?;
+        let mut keys = BTreeSet::new();
+        list_keys("", &file.settings, &mut keys);
+        let info = Info::deserialize(file.settings).map_err(|cause| format!("settings: {cause}"))?;
         let either = |name: &str, value: Option<String>, first: First| {
             let found = if first == First::File { value.or_else(|| var(name)) } else { var(name).or(value) };
             found.ok_or(format!("neither {name} nor the file says it"))
@@ -107,16 +141,27 @@
         Ok(Config {
             listen: address("GW_LISTEN", file.listen, First::Environment)?,
             discovery: address("GW_DISCOVERY", file.discovery, first)?,
+            ops: var("GW_OPS").or(file.ops).map(|text| listed("ops", &text)).transpose()?,
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| format!("seed: {:?} is not a hexadecimal number", file.seed))?,
             name: either("GW_NAME", file.name, First::Environment)?,
             sockets: file.limits.sockets,
             memory: file.limits.memory_mb.saturating_mul(1024 * 1024),
             known: file.known,
-            info: file.settings,
+            info,
+            keys,
             peer_listen: file.peer_listen.map(|text| listed("peer_listen", &text)).transpose()?,
             peers: file.peers.iter().map(|text| listed("peers", text)).collect::<Result<_, _>>()?,
             operator: Operator::default(),
         })
     }
 }
+
+/// The paths of all keys of a value, but for those within lists: what their entries need depends on what they are.
+fn list_keys(path: &str, value: &Value, keys: &mut BTreeSet<String>) {
+    for (key, value) in value.as_object().into_iter().flatten() {
+        let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+        list_keys(&path, value, keys);
+        keys.insert(path);
+    }
+}
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -60,6 +60,10 @@
     sheds,
     /// Datagrams to other instances.
     told,
+    /// Callers of the second address.
+    calls,
+    /// Of these, answered with no.
+    calls_denied,
 }
 
 /// One count.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -7,6 +7,7 @@
 use crate::{Entry, MemberId, Standing, Time};
 use petrelgauge_lifecycle::backoff::{Backoff, Cause};
 use serde::Deserialize;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -74,6 +75,8 @@
     next: MemberId,
     revision: Option<u64>,
     backoff: Backoff,
+    /// It has spoken since the start.
+    told: Rc<Cell<bool>>,
 }
 
 /// A host that discovery named.
@@ -94,7 +97,9 @@
         backoff: Backoff,
     ) -> Follower {
         let (numbers, next, revision) = (BTreeMap::new(), 0, None);
-        let mut follower = Follower { facade, hosts, counters, clock, numbers, next, revision, backoff };
+        let told = Rc::default();
+        let mut follower =
+            Follower { facade, hosts, counters, clock, numbers, next, revision, backoff, told };
         if let Some(list) = known {
             // Whatever it says of itself, it is all that is known: there is no older list to change.
             follower.take(List { complete: true, ..list });
@@ -102,6 +107,11 @@
         follower
     }
 
+    /// Turns true once discovery has spoken.
+    pub fn told(&self) -> Rc<Cell<bool>> {
+        self.told.clone()
+    }
+
     /// Keeps a watch open for good, always at the address that was named last.
     pub async fn follow(mut self, mut addresses: watch::Receiver<SocketAddr>) {
         let clock = self.clock;
@@ -177,7 +187,10 @@
             return;
         }
         match serde_json::from_slice::<List>(line) {
-            Ok(list) => self.take(list),
+            Ok(list) => {
+                self.take(list);
+                self.told.set(true);
+            }
             // One bad line must not take the good list away.
             Err(cause) => {
                 self.counters.bad_lists.add();
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,38 +1,41 @@
 //! Client sessions: PostgreSQL's simple queries in, one final answer out for each.
 
 use crate::facade::{Decision, Facade, Request, Visit};
-use crate::net::budget::{Budget, Hold, Idleness, Slot};
+use crate::net::budget::{Budget, Idleness, Slot};
 use crate::net::clock::Clock;
 use crate::net::counters::{Counters, Gauge};
 use crate::net::ending::End;
 use crate::net::hosts::{Given, Hosts};
-use crate::net::pg::{self, Answer, Framer, Message, Opening, Severity};
+use crate::net::inbox::{Flaw, Heard, Inbox, UNFINISHED, UNKNOWN};
+use crate::net::pg::{self, Answer, Severity};
 use crate::net::room::Room;
 use crate::net::set::{self, Setting};
 use crate::net::statement::Statement;
-use crate::{Class, Effect, Need, Time};
+use crate::{Effect, Need, Time};
 use bytes::{Buf, Bytes};
 use petrelgauge_lifecycle::asked::{Asked, Event, Final as Last};
-use petrelgauge_lifecycle::client::{Client, Do, Event as Happens, Kind, Stage, Used};
+use petrelgauge_lifecycle::client::{Client, Do, Event as Happens, Stage, Used};
+use petrelgauge_lifecycle::gateway::Door;
 use petrelgauge_sessions::Wallet;
 use std::cell::RefCell;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
-use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::net::tcp::WriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::task::JoinHandle;
 
-/// Span in which a query that is open may still be answered when bytes behind it made no sense (microseconds).
-const GRACE: Time = 1_000_000;
 /// Span after a request's end in which its client must have taken the answer (microseconds).
 const TAKING: Time = 2_000_000;
 /// Span in which a client that is cut off may send to the end and read the reason (microseconds).
 const LINGER: Time = 1_000_000;
-/// Queries, and bytes of them, that may wait while one is being answered.
-const AHEAD: usize = 64;
-const AHEAD_BYTES: usize = 2 * pg::MOST;
+/// While clients are being closed: span after its coming in which a client that has asked for nothing yet is left to
+/// (microseconds), since its first query may be on its way.
+const FIRST_WORD: Time = 500_000;
+/// The same for a message that has begun, from the first wish to close on, and between two looks at it.
+const LAST_MESSAGE: Time = 2_000_000;
+const LOOK: Time = 20_000;
 
 /// What all sessions share.
 pub struct Front {
@@ -46,12 +49,10 @@
     pub budget: Rc<Budget>,
     /// Counts.
     pub counters: Rc<Counters>,
-    /// The classes of requests.
-    pub classes: Vec<Class>,
     /// What is read into.
     pub room: Rc<Room>,
-    /// Turns true when idle clients are to be closed.
-    pub stopping: watch::Receiver<bool>,
+    /// What is to be done with clients.
+    pub door: watch::Receiver<Door>,
     /// Sessions that are open.
     pub open: Gauge,
     /// What clients call their open requests.
@@ -60,15 +61,19 @@
 
 impl Front {
     /// Accepts clients until the gateway stops. It never pauses: what waits in the kernel's backlog counts
-    /// as taken, and so what is there goes before the stop.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    /// as taken, and so what is there goes before the stop; unless the socket is `shared` with the process that
+    /// comes next, whose they are.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, shared: bool) {
         let (mut number, mut failing) = (0u32, false);
-        let mut stopping = self.stopping.clone();
+        let mut door = self.door.clone();
         loop {
+            if shared && *door.borrow() == Door::Shut {
+                return;
+            }
             let accepted = tokio::select! {
                 biased;
                 accepted = listener.accept() => accepted,
-                _ = stopping.wait_for(|stopping| *stopping) => return,
+                _ = door.wait_for(|door| *door == Door::Shut) => return,
             };
             match accepted {
                 Ok((stream, _)) => {
@@ -103,7 +108,8 @@
             inbox: Inbox::new(reader, &self),
             writer,
             shed: Rc::new(Notify::new()),
-            stopping: self.stopping.clone(),
+            door: self.door.clone(),
+            close_from: 0,
             marks: Wallet::default(),
         };
         let end = session.run(number).await;
@@ -138,212 +144,14 @@
     }
 }
 
-/// Messages of a client in order, each with the time it was read: a client counts its wait from its
-/// sending, also when other queries are answered first.
-struct Inbox<'a> {
-    reader: ReadHalf<'a>,
-    clock: Clock,
-    room: Rc<Room>,
-    hold: Hold,
-    framer: Framer,
-    ready: VecDeque<(Message, Time)>,
-    /// Bytes of the messages that wait, and of the one that was taken last.
-    waiting: usize,
-    taken: usize,
-    /// What made no sense, and until when what came before it may still be answered.
-    flaw: Option<(Flaw, Time)>,
-}
-
-/// Why a client is cut off.
-#[derive(Clone, Copy)]
-struct Flaw {
-    end: End,
-    code: &'static str,
-    text: &'static str,
-}
-
-impl From<pg::Malformed> for Flaw {
-    fn from(flaw: pg::Malformed) -> Flaw {
-        Flaw { end: End::ClientMalformed, code: "08P01", text: flaw.0 }
-    }
-}
-
-const TOO_MANY: Flaw = Flaw { end: End::ClientLarge, code: "54000", text: "too many queries at once" };
-const TOO_MUCH: Flaw = Flaw { end: End::ClientLarge, code: "53200", text: "out of memory" };
-const UNKNOWN: Flaw =
-    Flaw { end: End::ClientMalformed, code: "08P01", text: "invalid frontend message type" };
-const UNFINISHED: Flaw = Flaw { end: End::ClientSilent, code: "08P01", text: "message not whole in time" };
-
-impl<'a> Inbox<'a> {
-    fn new(reader: ReadHalf<'a>, front: &Front) -> Inbox<'a> {
-        Inbox {
-            reader,
-            clock: front.clock,
-            room: front.room.clone(),
-            hold: front.budget.hold(true),
-            framer: Framer::default(),
-            ready: VecDeque::new(),
-            waiting: 0,
-            taken: 0,
-            flaw: None,
-        }
-    }
-
-    /// Reads once. May be cancelled without loss.
-    async fn read(&mut self) -> Result<(), End> {
-        // Behind a flaw nothing is kept: it is read only to notice the client leave.
-        let mut framer = self.flaw.is_none().then_some(&mut self.framer);
-        loop {
-            self.reader.readable().await.map_err(|_| End::ClientLeft)?;
-            let reader = &self.reader;
-            match self.room.read(|bytes| reader.try_read(bytes), framer.as_deref_mut()) {
-                Ok(Some(0)) | Err(_) => return Err(End::ClientLeft),
-                Ok(Some(_)) => break,
-                Ok(None) => {}
-            }
-        }
-        if !self.hold.set(self.taken + self.waiting + self.framer.len()) {
-            self.flawed(TOO_MUCH);
-        }
-        // A client that sends without a pause must not keep the others from being served.
-        tokio::task::yield_now().await;
-        Ok(())
-    }
-
-    fn flawed(&mut self, flaw: Flaw) {
-        self.flaw = self.flaw.or(Some((flaw, self.clock.now() + GRACE)));
-        self.framer.clear();
-    }
-
-    async fn opening(&mut self) -> Result<Result<Opening, Flaw>, End> {
-        loop {
-            match (self.framer.opening(), self.flaw) {
-                (Err(flaw), _) => return Ok(Err(flaw.into())),
-                (_, Some((flaw, _))) => return Ok(Err(flaw)),
-                (Ok(Some(opening)), _) => return Ok(Ok(opening)),
-                (Ok(None), _) => self.read().await?,
-            }
-        }
-    }
-
-    /// Reads and forgets until the client leaves.
-    async fn discard(&mut self) {
-        while self.read().await.is_ok() {
-            self.framer.clear();
-        }
-    }
-
-    fn sort(&mut self) {
-        while self.flaw.is_none() {
-            match self.framer.message() {
-                Ok(Some(_)) if self.ready.len() >= AHEAD => self.flawed(TOO_MANY),
-                Ok(Some(message)) => {
-                    self.waiting += weight(&message);
-                    self.ready.push_back((message, self.clock.now()));
-                }
-                Ok(None) if self.waiting + self.framer.len() > AHEAD_BYTES => self.flawed(TOO_MANY),
-                Ok(None) => return,
-                Err(flaw) => self.flawed(flaw.into()),
-            }
-        }
-    }
-
-    /// The next message. May be cancelled without loss.
-    async fn next(&mut self) -> Result<Result<(Message, Time), Flaw>, End> {
-        self.taken = 0;
-        loop {
-            self.sort();
-            match self.flaw {
-                Some((flaw, by)) if self.ready.is_empty() || self.clock.now() >= by => return Ok(Err(flaw)),
-                _ => {}
-            }
-            if let Some((message, at)) = self.ready.pop_front() {
-                self.taken = weight(&message);
-                self.waiting -= self.taken;
-                return Ok(Ok((message, at)));
-            }
-            self.read().await?;
-        }
-    }
-
-    /// What the client sent next. May be cancelled without loss.
-    async fn hear(&mut self, stage: Stage) -> Heard {
-        let heard = if stage == Stage::Opening {
-            self.opening().await.map(|opened| {
-                opened.map(|opening| match opening {
-                    Opening::Encryption => Happens::Encryption.into(),
-                    Opening::Cancel => Happens::Cancel.into(),
-                    Opening::Startup { minor } => Heard { minor, ..Happens::Opened.into() },
-                })
-            })
-        } else {
-            self.next().await.map(|next| {
-                let (message, at) = next?;
-                let kind = Kind::of(message.kind());
-                let query = if kind == Kind::Query { Some((message.text()?, at)) } else { None };
-                Ok(Heard { query, ..Happens::Message(kind).into() })
-            })
-        };
-        match heard {
-            Ok(Ok(heard)) => heard,
-            Ok(Err(flaw)) => Heard { flaw: Some(flaw), ..Happens::Flawed(flaw.end).into() },
-            Err(end) => Happens::Left(end).into(),
-        }
-    }
-
-    /// Reads ahead until the client leaves, or what it sent must be answered with its end. May be cancelled
-    /// without loss.
-    async fn left(&mut self) -> End {
-        loop {
-            self.sort();
-            let flaw = self.flaw;
-            let read = tokio::select! {
-                biased;
-                () = due(self.clock, flaw) => return flaw.map_or(End::ClientLeft, |(flaw, _)| flaw.end),
-                read = self.read() => read,
-            };
-            if let Err(end) = read {
-                return end;
-            }
-        }
-    }
-}
-
-/// Something that happened, with what it brought.
-struct Heard {
-    event: Happens,
-    /// A query's text, and when it was read.
-    query: Option<(Bytes, Time)>,
-    /// The protocol's minor version that was asked for.
-    minor: u16,
-    flaw: Option<Flaw>,
-}
-
-impl From<Happens> for Heard {
-    fn from(event: Happens) -> Heard {
-        Heard { event, query: None, minor: 0, flaw: None }
-    }
-}
-
-/// Waits until a flaw must be answered, if there is one.
-async fn due(clock: Clock, flaw: Option<(Flaw, Time)>) {
-    match flaw {
-        Some((_, by)) => clock.sleep_until(by).await,
-        None => std::future::pending().await,
-    }
-}
-
-/// What a message that waits costs: a flood of the smallest ones must not cost more than it seems.
-fn weight(message: &Message) -> usize {
-    message.raw.len() + std::mem::size_of::<(Message, Time)>()
-}
-
 struct Session<'a> {
     front: Rc<Front>,
     inbox: Inbox<'a>,
     writer: WriteHalf<'a>,
     shed: Rc<Notify>,
-    stopping: watch::Receiver<bool>,
+    door: watch::Receiver<Door>,
+    /// A wish to close it is put off to this time.
+    close_from: Time,
     /// Session tokens that it set.
     marks: Wallet,
 }
@@ -394,7 +202,7 @@
 
     /// Waits for what happens next. What the client sent goes before every reason to close.
     async fn hear(&mut self, life: &Client) -> Heard {
-        let (front, shed, mut stopping) = (self.front.clone(), self.shed.clone(), self.stopping.clone());
+        let (front, shed, mut door) = (self.front.clone(), self.shed.clone(), self.door.clone());
         let clock = front.clock;
         if let Stage::Pausing { until } = life.stage() {
             return tokio::select! {
@@ -407,11 +215,22 @@
         }
         let (why, since) = life.idleness();
         let _idle = front.budget.idle(why, since, &shed);
+        // A client that has just come is about to say something.
+        let close_from = self.close_from.max(if why == Idleness::New { since + FIRST_WORD } else { since });
+        let closed = async {
+            let wished = door.wait_for(|door| door.empties()).await.is_ok();
+            clock.sleep_until(close_from).await;
+            wished
+        };
         tokio::select! {
             biased;
             heard = self.inbox.hear(life.stage()) => heard,
             () = shed.notified() => Happens::Shed { unread: false }.into(),
-            _ = stopping.wait_for(|stopping| *stopping) => Happens::Stop { unread: false }.into(),
+            _ = closed => {
+                let unread = !self.inbox.framer.is_empty() && clock.now() < since + LAST_MESSAGE;
+                self.close_from = clock.now() + LOOK;
+                Happens::Stop { unread }.into()
+            }
             () = clock.sleep_until(life.due()) => {
                 Happens::Due { unread: false, begun: !self.inbox.framer.is_empty() }.into()
             }
@@ -455,7 +274,12 @@
     async fn query(&mut self, text: Bytes, at: Time) -> Result<Used, End> {
         let (mut out, mut used) = (Vec::new(), Used::Own);
         let flawed = if text.iter().all(|byte| byte.is_ascii_whitespace() || *byte == b';') {
-            pg::put_empty(&mut out);
+            // So the front learns whether to send clients here.
+            if self.door.borrow().admits() {
+                pg::put_empty(&mut out);
+            } else {
+                pg::put_error(&mut out, Severity::Error, "57P03", "this gateway is being drained", None);
+            }
             None
         } else if let Some(setting) = set::read(&text) {
             self.set(setting).map(|tag| pg::put_complete(&mut out, tag)).err()
@@ -506,10 +330,9 @@
 
     fn read_statement(&self, text: &Bytes, at: Time) -> Result<Taken, Flawed> {
         let statement = Statement::parse(text).map_err(|cause| ("42601", cause.to_string()))?;
-        let named = self.front.classes.iter().position(|class| class.name == statement.class);
+        let named = self.front.facade.find(at, &statement.class, statement.keyed);
         let unusable = |code: &'static str, cause: &str| Err((code, cause.to_string()));
-        let Some(place) = named else { return unusable("22023", "no such class") };
-        let class = &self.front.classes[place];
+        let Some((place, class)) = named else { return unusable("22023", "no such class") };
         if statement.write != (class.need == Need::Write) {
             return unusable("42601", "the statement does not fit its class");
         }
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -68,7 +68,7 @@
     counters: Rc<Counters>,
     room: Rc<Room>,
     patience: Cell<Patience>,
-    keep: Keep,
+    keep: Cell<Keep>,
     out: Gauge,
 }
 
@@ -90,11 +90,17 @@
             counters,
             room,
             patience: Cell::new(Patience::new(connect_span)),
-            keep: Keep::for_hosts(idle_span),
+            keep: Cell::new(Keep::for_hosts(idle_span)),
             out: Gauge::default(),
         })
     }
 
+    /// New settings: a connection must come up within `connect_span`; hosts close idle ones after `idle_span`.
+    pub fn follow(&self, connect_span: Time, idle_span: Time) {
+        self.patience.set(self.patience.get().at_most(connect_span));
+        self.keep.set(Keep::for_hosts(idle_span));
+    }
+
     /// Discovery told where a host is.
     pub fn place(&self, id: MemberId, site: Site) {
         let mut hosts = self.hosts.borrow_mut();
@@ -117,6 +123,11 @@
         ids.into_iter().filter(|id| !named(*id)).for_each(|id| self.remove(id));
     }
 
+    /// Hosts that discovery names.
+    pub fn named(&self) -> usize {
+        self.hosts.borrow().len()
+    }
+
     /// Attempts that are out.
     pub fn out(&self) -> usize {
         self.out.get()
@@ -127,7 +138,7 @@
         let now = self.clock.now();
         for host in self.hosts.borrow_mut().values_mut() {
             host.idle.retain(|(since, connection)| {
-                let end = self.keep.sweep(now, connection.resting(*since), connection.look());
+                let end = self.keep.get().sweep(now, connection.resting(*since), connection.look());
                 end.into_iter().for_each(|end| self.counters.ended(end));
                 end.is_none()
             });
@@ -371,9 +382,9 @@
         let mut hosts = self.hosts.borrow_mut();
         let idle = &mut hosts.get_mut(&id)?.idle;
         loop {
-            let place = self.keep.choose(now, idle.iter().map(|(since, one)| one.resting(*since)))?;
+            let place = self.keep.get().choose(now, idle.iter().map(|(since, one)| one.resting(*since)))?;
             let (since, mut connection) = idle.remove(place);
-            match self.keep.may_use(now, connection.resting(since), connection.look()) {
+            match self.keep.get().may_use(now, connection.resting(since), connection.look()) {
                 Ok(recent) => {
                     connection.recent = recent;
                     return Some(connection);
@@ -386,7 +397,7 @@
     fn put_back(&self, id: MemberId, connection: Connection) {
         let mut hosts = self.hosts.borrow_mut();
         let home = hosts.get_mut(&id).filter(|host| host.site == connection.site && host.site.up);
-        match (self.keep.come_to_rest(home.is_some()), home) {
+        match (self.keep.get().come_to_rest(home.is_some()), home) {
             (Ok(()), Some(host)) => host.idle.push((self.clock.now(), connection)),
             (end, _) => self.counters.ended(end.err().unwrap_or(End::Retired)),
         }
--- /dev/null
+++ b/src/net/ops.rs
@@ -0,0 +1,117 @@
+//! The staff's second address: one line in, one line out. What a line means and what is answered to it stands in
+//! `petrelgauge_lifecycle::ops`.
+
+use crate::net::clock::Clock;
+use crate::net::counters::Counters;
+use crate::net::hosts::Hosts;
+use crate::Time;
+use petrelgauge_lifecycle::ops::{self, Call, Flaw, Reply, LINE, MOST_CALLERS, MOST_LINE};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+
+/// Span in which a caller may take its answer and send to the end (microseconds).
+const LINGER: Time = 500_000;
+/// Pause after a caller could not be accepted (microseconds).
+const PAUSE: Time = 10_000;
+
+/// A call, and where its answer goes.
+pub type Asked = (Call, oneshot::Sender<Reply>);
+
+/// The second address.
+pub struct Ops {
+    /// Who carries calls out.
+    pub desk: mpsc::Sender<Asked>,
+    /// What can be spared when there is no descriptor left.
+    pub hosts: Rc<Hosts>,
+    /// The clock.
+    pub clock: Clock,
+    /// Counts.
+    pub counters: Rc<Counters>,
+}
+
+impl Ops {
+    /// Accepts callers for as long as the gateway runs.
+    pub async fn accept(self, listener: TcpListener) {
+        let ops = Rc::new(self);
+        let mut callers: VecDeque<AbortHandle> = VecDeque::new();
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                ops.hosts.make_room();
+                ops.clock.sleep_until(ops.clock.now() + PAUSE).await;
+                continue;
+            };
+            callers.retain(|caller| !caller.is_finished());
+            if callers.len() >= MOST_CALLERS {
+                callers.pop_front().into_iter().for_each(|caller| caller.abort());
+                // Its descriptor is free once it was dropped.
+                tokio::task::yield_now().await;
+            }
+            callers.push_back(tokio::task::spawn_local(ops.clone().serve(stream)).abort_handle());
+        }
+    }
+
+    async fn serve(self: Rc<Self>, mut stream: TcpStream) {
+        let clock = self.clock;
+        self.counters.calls.add();
+        let line = tokio::select! {
+            line = line(&mut stream) => line,
+            () = clock.sleep_until(clock.now() + LINE) => Err(Some(Flaw::Late)),
+        };
+        let reply = match line {
+            Ok(line) => match ops::read(&line) {
+                Ok(call) => self.ask(call).await,
+                Err(flaw) => flaw.into(),
+            },
+            Err(Some(flaw)) => flaw.into(),
+            Err(None) => return,
+        };
+        if !reply.yes {
+            self.counters.calls_denied.add();
+        }
+        let told = async {
+            stream.write_all(reply.to_string().as_bytes()).await?;
+            stream.shutdown().await?;
+            // Closed with bytes unread, the connection would be reset and the answer lost.
+            let mut rest = [0; MOST_LINE];
+            while stream.read(&mut rest).await? > 0 {}
+            Ok::<(), std::io::Error>(())
+        };
+        tokio::select! {
+            _ = told => {}
+            () = clock.sleep_until(clock.now() + LINGER) => {}
+        }
+    }
+
+    async fn ask(&self, call: Call) -> Reply {
+        let (answer, answered) = oneshot::channel();
+        let sent = self.desk.send((call, answer)).await;
+        let reply = match sent {
+            Ok(()) => answered.await.ok(),
+            Err(_) => None,
+        };
+        reply.unwrap_or(Reply { yes: false, reason: "stopping, it ends by itself".into() })
+    }
+}
+
+/// A caller's line, without its end. Nothing if the caller left before it had said anything.
+async fn line(stream: &mut TcpStream) -> Result<Vec<u8>, Option<Flaw>> {
+    let (mut line, mut bytes) = (Vec::new(), [0; MOST_LINE]);
+    loop {
+        let count = stream.read(&mut bytes).await.map_err(|_| None)?;
+        if let Some(end) = bytes[..count].iter().position(|byte| *byte == b'\n') {
+            line.extend_from_slice(&bytes[..end]);
+            return Ok(line);
+        }
+        line.extend_from_slice(&bytes[..count]);
+        if line.len() > MOST_LINE {
+            return Err(Some(Flaw::Long));
+        }
+        if count == 0 {
+            return if line.is_empty() { Err(None) } else { Ok(line) };
+        }
+    }
+}
--- /dev/null
+++ b/tests/daily.rs
@@ -0,0 +1,207 @@
+//! Daily running: the second address, draining and resuming. The program on sockets, as in `gateway.rs`.
+
+mod stage;
+use stage::*;
+use std::io::{Read, Write};
+
+const VIEW: &str = "view";
+
+/// A gateway at work with one host, as its staff knows it.
+fn at_work(number: u8, script: Vec<Say>) -> (Gateway, Host) {
+    let stage = Stage::new(number).ops();
+    let host = stage.host(script);
+    let line = list(42, true, &stage.entries(&[(&host, "up", "primary")]));
+    let gateway = stage.news(&[&line]).start();
+    gateway.call_until(b"ready\n", "YES");
+    (gateway, host)
+}
+
+#[test]
+fn a_drained_gateway_says_no_closes_idle_clients_and_answers_what_it_took() {
+    let (gateway, host) = at_work(50, vec![Say::WaitForGo(b"late"), Say::Row(b"new")]);
+    let (mut idle, mut busy) = (gateway.client(), gateway.client());
+    busy.write(&query(&select("a", VIEW, 20000)));
+    host.next_query();
+    assert_eq!(kinds(&idle.ask("")), "IZ");
+    assert!(gateway.call(b"drain\n").starts_with("YES"));
+    assert!(gateway.call(b"ready\n").starts_with("NO"));
+    // The front learns of it by the empty query, on whatever connection.
+    let answer = idle.ask("");
+    assert_eq!((kinds(&answer).as_str(), field(&answer[0].1, b'C').as_str()), ("EZ", "57P03"));
+    assert!(idle.rest().is_empty(), "closed when the front knows");
+    // Whoever still comes is served.
+    let mut late = gateway.client();
+    assert_eq!(late.ask(&select("b", VIEW, 20000).replace("9b1f", "9b20"))[1].1[6..], *b"new");
+    assert!(late.rest().is_empty(), "and closed after the answer");
+    host.go();
+    assert_eq!(busy.until_ready()[1].1[6..], *b"late");
+    assert!(busy.rest().is_empty());
+}
+
+#[test]
+fn resume_brings_it_back_without_a_restart_and_calls_may_come_twice() {
+    let (gateway, _host) = at_work(51, vec![Say::Row(b"one")]);
+    for line in [b"drain\n", b"drain\n"] {
+        assert!(gateway.call(line).starts_with("YES"));
+    }
+    let mut waits = gateway.client();
+    assert!(waits.rest().is_empty(), "nobody stays who asks for nothing");
+    for line in [b"resume\n", b"resume\n"] {
+        assert!(gateway.call(line).starts_with("YES"));
+    }
+    assert!(gateway.call(b"ready\n").starts_with("YES"));
+    let mut client = gateway.client();
+    assert_eq!(kinds(&client.ask("")), "IZ");
+    assert_eq!(client.ask(&select("a", VIEW, 20000))[1].1[6..], *b"one");
+}
+
+#[test]
+fn it_is_not_ready_without_a_host_and_stays_drained_through_a_reload() {
+    let stage = Stage::new(52).ops();
+    let config = stage.config();
+    let gateway = stage.start();
+    assert!(gateway.call(b"ready\n").starts_with("NO"));
+    assert!(gateway.call(b"drain\n").starts_with("YES"), "also while the list is empty");
+    gateway.configure(&config);
+    gateway.wait_for("reloads=", |count| count == 1);
+    assert!(gateway.call(b"ready\n").starts_with("NO"));
+    assert!(gateway.call(b"resume\n").starts_with("YES"));
+}
+
+#[test]
+fn calls_during_a_stop_are_answered_with_no_and_do_not_hold_it_up() {
+    let (mut gateway, _host) = at_work(53, vec![]);
+    gateway.signal("TERM");
+    gateway.call_until(b"ready\n", "NO stopping");
+    assert!(gateway.call(b"drain\n").starts_with("NO"));
+    assert_eq!(gateway.ended().0, Some(0));
+}
+
+#[test]
+fn bad_callers_get_a_plain_no_and_keep_nobody_out() {
+    // So few descriptors that clients take all that they are given.
+    let stage = Stage::new(54).ops().sockets(64);
+    let host = stage.host(vec![]);
+    let line = list(42, true, &stage.entries(&[(&host, "up", "primary")]));
+    let gateway = stage.news(&[&line]).start();
+    for line in [&b"READY\n"[..], b"ready please\n", b"\n", b"dra", &[b'x'; 1 << 20]] {
+        let mut caller = gateway.caller();
+        let _ = caller.write_all(line);
+        let _ = caller.shutdown(std::net::Shutdown::Write);
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).expect("an answer");
+        assert!(answer.starts_with("NO ") && answer.ends_with('\n'), "{answer:?}");
+    }
+    let _clients: Vec<Client> = (0..24).map(|_| gateway.raw_client()).collect();
+    let silent: Vec<_> = (0..40).map(|_| gateway.caller()).collect();
+    let mut half = gateway.caller();
+    half.write_all(b"rea").expect("it is read");
+    gateway.call_until(b"ready\n", "YES");
+    half.write_all(b"dy\n").expect("it is read");
+    let mut answer = String::new();
+    half.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.starts_with("YES"), "half a line may become whole");
+    drop(silent);
+}
+
+#[test]
+fn without_its_name_nothing_listens_and_a_bad_one_is_named() {
+    let stage = Stage::new(55);
+    let config = stage.config().replacen('{', r#"{"ops":"nowhere","#, 1);
+    let (code, log) = stage.start_with(&config).ended();
+    assert_eq!(code, Some(2));
+    assert!(log.contains("ops: \"nowhere\" is not an address with a port"), "{log}");
+}
+
+/// The configuration with a third class, and the effects of the second changed.
+fn grown(config: &str) -> String {
+    let class = r#""classes":[{"aim_us":4000000,"deadline_us":30000000,"idempotency":"safe","name":"extra","points":2.0},"#;
+    let config = config.replace(r#""classes":["#, class).replace(r#""keyed""#, r#""unsafe""#);
+    config
+        .replace(r#"["eventual","mutate"]"#, r#"["eventual","eventual","mutate"]"#)
+        .replace("[0,0]", "[0,0,0]")
+}
+
+fn taken(gateway: &Gateway, reloads: u64) {
+    gateway.wait_for("reloads=", |count| count == reloads);
+}
+
+#[test]
+fn a_class_that_is_added_serves_at_once_and_one_that_is_dropped_ends_when_clients_know() {
+    let stage = Stage::new(56).ops();
+    let host = stage.host((0..4).map(|_| Say::Row(b"v")).collect());
+    let stage = stage.list(&[(&host, "up", "primary")]);
+    let config = stage.config();
+    let gateway = stage.start();
+    let mut client = gateway.client();
+    let extra = select("a", "extra", 20000);
+    assert_eq!(field(&client.ask(&extra)[0].1, b'C'), "22023", "not yet");
+    gateway.configure(&grown(&config));
+    taken(&gateway, 1);
+    assert!(gateway.call(b"ready\n").contains("settings 2"));
+    assert_eq!(kinds(&client.ask(&extra)), "TDCZ");
+    assert_eq!(kinds(&client.ask(&select("a", VIEW, 20000))), "TDCZ", "the others go on");
+    gateway.configure(&config);
+    taken(&gateway, 2);
+    assert_eq!(kinds(&client.ask(&extra)), "TDCZ", "its clients do not know yet");
+    std::thread::sleep(std::time::Duration::from_millis(2100));
+    let answer = client.ask(&extra);
+    assert_eq!((kinds(&answer).as_str(), field(&answer[0].1, b'C').as_str()), ("EZ", "22023"));
+    assert_eq!(kinds(&client.ask(&select("a", VIEW, 20000))), "TDCZ");
+}
+
+#[test]
+fn an_open_request_keeps_the_rules_it_came_with_and_the_next_one_has_the_new() {
+    let stage = Stage::new(57).ops();
+    let host = stage.host(vec![Say::CloseOnGo, Say::Row(b"again"), Say::Close]);
+    let stage = stage.list(&[(&host, "up", "primary")]);
+    let config = stage.config();
+    let gateway = stage.start();
+    let mut client = gateway.client();
+    client.write(&query(&insert("a", 20000)));
+    host.next_query();
+    gateway.configure(&grown(&config));
+    taken(&gateway, 1);
+    host.go();
+    // Keyed when it came: what may have run goes out again.
+    assert_eq!(client.until_ready()[1].1[6..], *b"again");
+    host.next_query();
+    let answer = client.ask(&insert("b", 20000));
+    assert_eq!(field(&answer[0].1, b'C'), "40003", "no longer");
+    assert_eq!(host.queries(), 3, "it went out once");
+}
+
+#[test]
+fn a_broken_file_changes_nothing_and_is_named() {
+    let stage = Stage::new(58).ops();
+    let host = stage.host((0..20).map(|_| Say::Row(b"v")).collect());
+    let stage = stage.list(&[(&host, "up", "primary")]);
+    let config = stage.config();
+    let gateway = stage.start();
+    let mut client = gateway.client();
+    let grown = grown(&config);
+    let broken = [
+        String::new(),
+        grown[..grown.len() / 2].to_string(),
+        grown.replace(r#""classes""#, r#""klasses""#),
+        grown.replace(r#""retry_after":true,"#, ""),
+        grown.replace(r#""cold_us":16000000,"#, ""),
+        grown.replace(r#""deadline_us":30000000"#, r#""deadline_us":0"#),
+        grown.replace(r#""deadline_us":30000000"#, r#""deadline_us":-5"#),
+        grown.replace(r#""attempts_cap":8"#, r#""attempts_cap":0"#),
+        grown.replace(r#""attempts_cap":8"#, r#""attempts_cap":-1"#),
+        grown.replace(r#""attempts_cap":8"#, r#""attempts_cap":"8""#),
+        grown.replace("[0,0,0]", "[0,0]").replace(r#""eventual","eventual""#, r#""lag_bound""#),
+    ];
+    for (number, text) in broken.iter().enumerate() {
+        assert_ne!(*text, grown, "number {number} is not broken");
+        gateway.configure(text);
+        gateway.wait_for("bad_configs=", |count| count == number as u64 + 1);
+        assert!(gateway.call(b"ready\n").contains("settings 1"), "{text}");
+        assert_eq!(field(&client.ask(&select("a", "extra", 20000))[0].1, b'C'), "22023");
+        assert_eq!(kinds(&client.ask(&select("a", VIEW, 20000))), "TDCZ");
+    }
+    gateway.configure(&grown);
+    taken(&gateway, 1);
+    assert_eq!(kinds(&client.ask(&select("a", "extra", 20000))), "TDCZ");
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -84,6 +84,8 @@
     /// These bytes and no more.
     Bytes(&'static [u8]),
     WaitForGo(&'static [u8]),
+    /// No answer, and the connection closed when the test says so.
+    CloseOnGo,
     Error(&'static str),
     /// The same from a replica at this position.
     ErrorAt(&'static str, u64),
@@ -178,6 +180,9 @@
                 go.lock().expect("a signal").recv_timeout(NEVER).expect("it may go on");
                 row(value)
             }
+            Some(Say::CloseOnGo) => {
+                return go.lock().expect("a signal").recv_timeout(NEVER).expect("it may go on");
+            }
             Some(Say::Error(code)) => message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes()),
             Some(Say::ErrorAt(code, at)) => {
                 let error = message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes());
@@ -210,6 +215,7 @@
     later: Vec<String>,
     sockets: usize,
     operator: Option<String>,
+    ops: Option<String>,
 }
 
 impl Stage {
@@ -230,6 +236,7 @@
             later: Vec::new(),
             sockets: 1024,
             operator: None,
+            ops: None,
         }
     }
 
@@ -278,6 +285,13 @@
         self
     }
 
+    /// The gateway listens to its staff too.
+    pub fn ops(mut self) -> Stage {
+        let free = TcpListener::bind((self.ip.as_str(), 0)).expect("a free port");
+        self.ops = Some(free.local_addr().expect("an address").to_string());
+        self
+    }
+
     pub fn sockets(mut self, sockets: usize) -> Stage {
         self.sockets = sockets;
         self
@@ -290,8 +304,9 @@
     pub fn config(&self) -> String {
         let (listen, sockets, known) = (&self.listen, self.sockets, list(41, true, &self.known));
         let discovery = self.discovery_address();
+        let ops = self.ops.as_ref().map(|ops| format!(r#""ops":"{ops}","#)).unwrap_or_default();
         format!(
-            r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
+            r#"{{{ops}"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
         )
     }
 
@@ -315,7 +330,8 @@
             .expect("the gateway starts");
         let log = BufReader::new(child.stderr.take().expect("its log"));
         let (watches, end_watch) = (channel().1, channel().0);
-        Gateway { child, log: RefCell::new(log), address: self.listen.clone(), watches, end_watch }
+        let (address, ops) = (self.listen.clone(), self.ops.clone());
+        Gateway { child, log: RefCell::new(log), address, ops, watches, end_watch }
     }
 
     /// Starts the program and waits until it serves.
@@ -397,6 +413,7 @@
     child: Child,
     log: RefCell<BufReader<std::process::ChildStderr>>,
     address: String,
+    ops: Option<String>,
     watches: Receiver<String>,
     end_watch: Sender<()>,
 }
@@ -407,6 +424,34 @@
         &self.address
     }
 
+    /// A caller of its second address.
+    pub fn caller(&self) -> TcpStream {
+        let stream =
+            TcpStream::connect(self.ops.as_ref().expect("it listens to its staff")).expect("it accepts");
+        stream.set_read_timeout(Some(NEVER)).expect("a limit");
+        stream
+    }
+
+    /// What it answers to a call.
+    pub fn call(&self, line: &[u8]) -> String {
+        let mut caller = self.caller();
+        caller.write_all(line).expect("it is read");
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).expect("an answer");
+        answer
+    }
+
+    /// Calls until the answer begins so.
+    pub fn call_until(&self, line: &[u8], begins: &str) {
+        for _ in 0..NEVER.as_millis() / 20 {
+            if self.call(line).starts_with(begins) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        panic!("it never says so");
+    }
+
     pub fn raw_client(&self) -> Client {
         Client::connected(self.address.parse().expect("an address"))
     }
