Pass long rows from host to client piece by piece

Ruled out: payments (1592 served, none malformed), slow clients' writes (2220 in pieces, no ClientSilent), memory (2 of 48 MB).

Change: with the first bytes of a row over 64 KiB the attempt ends as End::Flows, its connection is lent to the session (net/flow.rs), 16 KiB at a time; what the host says behind it is told as a late word. hosts.rs split into hosts, link and attempt. A planted bug (LentRests) is found by the model connection.

--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -479,6 +479,13 @@
         owed
     }
 
+    /// A member said this of itself after its attempt was reported: behind a row that was passed on as it came.
+    pub fn heard(&mut self, now: Time, host: MemberId, said: Outcome) {
+        let position = said.position.map(|position| position.min(now));
+        let report = Report { position, role: said.role, ..said.report };
+        self.queue.push(Event::Probed { member: host, ending: Ending::Served, report });
+    }
+
     /// Learns the time: what was given up before it, and may have run, was committed before it.
     fn look(&mut self, now: Time) {
         let Some(keeper) = &mut self.keeper else { return };
--- a/crates/lifecycle/src/ending.rs
+++ b/crates/lifecycle/src/ending.rs
@@ -7,6 +7,8 @@
 pub enum End {
     /// A database host served the request.
     Served,
+    /// It serves the request with a long row, which its client gets as it comes.
+    Flows,
     /// It answered with an error; there may have been an effect.
     HostError,
     /// It turned the request away untouched: not the primary, or too far behind.
@@ -69,8 +71,9 @@
 
 impl End {
     /// All of them, in order.
-    pub const ALL: [End; 30] = [
+    pub const ALL: [End; 31] = [
         End::Served,
+        End::Flows,
         End::HostError,
         End::TurnedAway,
         End::Unusable,
@@ -110,7 +113,7 @@
     /// What the decisions are told of an attempt that ended so.
     pub fn for_decisions(self) -> Ending {
         match self {
-            End::Served => Ending::Served,
+            End::Served | End::Flows => Ending::Served,
             End::HostError => Ending::Error,
             End::TurnedAway => Ending::TurnedAway,
             End::Full => Ending::Full,
--- a/crates/lifecycle/src/exchange.rs
+++ b/crates/lifecycle/src/exchange.rs
@@ -7,6 +7,9 @@
 //!     +--------------------+-----------------+----------------+-------------------+--> Ended(end)
 //! ```
 //!
+//! With the first bytes of a long row an attempt ends as [`End::Flows`], and its connection is lent to whoever passes
+//! the row on: the request has its answer.
+//!
 //! A reused connection begins in Writing. Whatever the state, an attempt ends once, by [`Exchange::on`], and its
 //! connection is put away (rested or closed) before the end may be told: [`Exchange::put_away`] says how, and only
 //! what it gives has the end. A second copy could else go out beside a connection that still carries the first.
@@ -68,6 +71,8 @@
         /// It is alike to the last answer of the connection to the last bit.
         copy: bool,
     },
+    /// A long row has begun: its client gets it as it comes.
+    Flows,
     /// The host's bytes make no sense.
     Malformed,
     /// The connection broke or ended.
@@ -85,6 +90,8 @@
 pub enum Away {
     /// It may carry another request.
     Rest,
+    /// It goes to the client's session with the row that has begun on it.
+    Lend,
     /// It is closed: more came than belonged to the answer, and more of it may follow.
     Surplus,
     /// It is closed, as the attempt's own end says.
@@ -180,6 +187,7 @@
                 Ended(if mutant(Mutant::CopyTaken) { End::Served } else { End::HostRepeated })
             }
             (Waiting | Answering { .. }, Event::Answered { end, .. }) => Ended(end),
+            (Waiting | Answering { .. }, Event::Flows) => Ended(End::Flows),
             (Waiting | Answering { .. }, Event::Malformed) => Ended(End::HostMalformed),
             (Waiting | Answering { .. }, Event::Broke) => {
                 Ended(if mutant(Mutant::ResetUnproved) { End::BrokenUnsent } else { End::BrokenSent })
@@ -200,6 +208,9 @@
     /// its own and is ready for more. `unread`: bytes of it lie there that belong to no answer.
     pub fn put_away(self, unread: bool) -> Option<(Away, Told)> {
         let end = self.ended()?;
+        if end == End::Flows {
+            return Some((if mutant(Mutant::LentRests) { Away::Rest } else { Away::Lend }, Told { end }));
+        }
         let away = match (end.is_answer() && self.ready, unread && !mutant(Mutant::UnreadRests)) {
             (true, false) => Away::Rest,
             (true, true) => Away::Surplus,
--- a/crates/models/src/connection.rs
+++ b/crates/models/src/connection.rs
@@ -15,6 +15,8 @@
 enum Bytes {
     /// The first part of an answer to this request.
     Part,
+    /// The beginning of a long row for this request.
+    Row(u8),
     /// The (rest of the) answer to this request; `tells`: with its position.
     Answer { request: u8, tells: bool },
     /// Noise, which no answer is.
@@ -58,6 +60,8 @@
     Begins,
     /// The same, so late that the attempt's time is over before the answer must be whole.
     BeginsLate,
+    /// The host begins a long row.
+    Flows,
     /// The host answers with what makes no sense.
     Spoils,
     /// The host answers; `tells`: with its position.
@@ -165,7 +169,7 @@
         };
         self.reports += 1;
         self.waited = false;
-        if told.end == End::Served && self.answered != Some(request) {
+        if matches!(told.end, End::Served | End::Flows) && self.answered != Some(request) {
             self.broken = Some(OWN);
         }
         if told.end == End::HostStalled && !self.began {
@@ -251,6 +255,9 @@
                 if !line.owed.is_empty() {
                     moves.extend([Move::Answers { tells: true }, Move::Answers { tells: false }]);
                     moves.push(Move::Spoils);
+                    if line.unread.is_empty() {
+                        moves.push(Move::Flows);
+                    }
                     if !line.unread.contains(&Bytes::Part) && !self.began {
                         moves.extend([Move::Begins, Move::BeginsLate]);
                     }
@@ -335,6 +342,12 @@
                     line.unread.push(Bytes::Part);
                 }
             }
+            Move::Flows => {
+                // It goes on behind the beginning: the host still owes the rest.
+                if let Some(line) = self.line() {
+                    line.unread.push(Bytes::Row(line.owed[0]));
+                }
+            }
             Move::Answers { tells } => {
                 if let Some(line) = self.line() {
                     let request = line.owed.remove(0);
@@ -368,6 +381,10 @@
                         self.began = true;
                         self.tell(Event::Began);
                     }
+                    Bytes::Row(request) => {
+                        (self.answered, self.began) = (Some(request), true);
+                        self.tell(Event::Flows);
+                    }
                     Bytes::Noise => self.tell(Event::Malformed),
                     Bytes::End => self.tell(Event::Broke),
                     Bytes::Answer { request, tells } => {
@@ -401,6 +418,7 @@
             Move::BeginsLate => {
                 "the host writes the beginning of an answer when the time is nearly over".into()
             }
+            Move::Flows => "the host begins a long row".into(),
             Move::Spoils => "the host answers with what makes no sense".into(),
             Move::Answers { tells: true } => "the host answers and tells its position".into(),
             Move::Answers { tells: false } => "the host answers and tells no position".into(),
--- a/crates/models/src/coverage.rs
+++ b/crates/models/src/coverage.rs
@@ -44,6 +44,7 @@
         Event::Began,
         answered(false),
         answered(true),
+        Event::Flows,
         Event::Malformed,
         Event::Broke,
         Event::NoMemory,
--- a/crates/models/src/lib.rs
+++ b/crates/models/src/lib.rs
@@ -101,6 +101,7 @@
         | Mutant::UnreadRests
         | Mutant::SurplusReused
         | Mutant::CopyTaken
+        | Mutant::LentRests
         | Mutant::OldReused => "connection",
         Mutant::ClosedWhileOwed | Mutant::ClosedUnread | Mutant::EndsWhileHeld | Mutant::StaysDrained => {
             "stop"
--- a/crates/policy/src/mutant.rs
+++ b/crates/policy/src/mutant.rs
@@ -52,11 +52,13 @@
     StaysDrained,
     /// A class takes the place of one that an open request has.
     PlaceReused,
+    /// A connection on which a row is still coming goes back to rest.
+    LentRests,
 }
 
 impl Mutant {
     /// All of them.
-    pub const ALL: [Mutant; 24] = [
+    pub const ALL: [Mutant; 25] = [
         Mutant::DrainIgnored,
         Mutant::WindowIgnored,
         Mutant::UnsafeRepeated,
@@ -81,6 +83,7 @@
         Mutant::EndsWhileHeld,
         Mutant::StaysDrained,
         Mutant::PlaceReused,
+        Mutant::LentRests,
     ];
 }
 
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -145,6 +145,12 @@
         self.0.woken.notify_one();
     }
 
+    /// A member said this of itself outside of an attempt's report.
+    pub fn heard(&self, now: Time, host: MemberId, said: Outcome) {
+        self.0.desk.borrow_mut().heard(now, host, said);
+        self.0.woken.notify_one();
+    }
+
     /// Whether the list may hold this group: it named it since it was last whole, or has named none so far.
     pub fn may_serve(&self, group: GroupId) -> bool {
         self.0.desk.borrow().may_serve(group)
--- a/src/main.rs
+++ b/src/main.rs
@@ -38,7 +38,7 @@
 const BACKLOG: u32 = 1024;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("debug")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let ran = Config::read(|name| std::env::var(name).ok()).and_then(|config| {
         let inherited = inherited::listener(|name| std::env::var(name).ok())?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- /dev/null
+++ b/src/net/attempt.rs
@@ -0,0 +1,286 @@
+//! One attempt on a connection to a database host.
+
+use crate::facade::{Attempt, Outcome};
+use crate::net::budget::Hold;
+use crate::net::flow::Flow;
+use crate::net::hosts::Hosts;
+use crate::net::link::Connection;
+use crate::net::pg::{Answer, Gather, Reply};
+use crate::net::room;
+use crate::net::statement::Statement;
+use crate::{settings, MemberId, Report, Role, Time};
+use bytes::Buf;
+use petrelgauge_lifecycle::ending::End;
+use petrelgauge_lifecycle::exchange::{Away, Event, Exchange, Stage};
+use petrelgauge_lifecycle::rest::{is_copy, is_unlike_others};
+use petrelgauge_lifecycle::verdict;
+use std::collections::hash_map::DefaultHasher;
+use std::hash::Hasher;
+use std::pin::pin;
+use std::rc::Rc;
+use tokio::io::AsyncWriteExt;
+
+impl Hosts {
+    /// Makes one attempt and reports it. Gives what the host said if it is the request's final answer.
+    pub async fn attempt(self: Rc<Self>, mut attempt: Attempt, statement: Rc<Statement>) -> Option<Given> {
+        self.counters.attempts.add();
+        let _out = self.out.enter();
+        let (host, until) = (attempt.host, attempt.until);
+        let mut line = Line::new(self.reuse(host), self.budget.hold(false));
+        let now = self.clock.now();
+        let (began, reused, mut written) = (now, line.connection.is_some(), None);
+        let mut life = Exchange::new(reused, now, now + self.patience(host), until);
+        // One timer for as long as the limit is the same.
+        let mut due = life.due();
+        let mut timer = pin!(self.clock.sleep_until(due));
+        while life.ended().is_none() {
+            if life.due() != due {
+                due = life.due();
+                timer.set(self.clock.sleep_until(due));
+            }
+            let event = tokio::select! {
+                biased;
+                event = self.work(life.stage(), host, until, &statement, &mut line) => event,
+                () = attempt.called_off() => Event::CalledOff,
+                () = &mut timer => {
+                    timer.set(self.clock.sleep_until(due));
+                    Event::Due
+                }
+            };
+            life.on(self.clock.now(), event);
+            if event == Event::Greeted {
+                self.came_up(host, self.clock.now() - began);
+            }
+            written = written.or_else(|| life.may_have_run().then(|| self.clock.now()));
+        }
+        let now = self.clock.now();
+        let Line { connection, reply, hold, gather, .. } = line;
+        if reply.as_ref().is_some_and(|reply| reply.ready) {
+            life.host_is_ready();
+        }
+        let unread = connection.as_ref().is_some_and(|connection| !connection.framer.is_empty());
+        let (away, told) = life.put_away(unread)?;
+        let mut flow = None;
+        match (connection, away) {
+            (Some(connection), Away::Rest) => self.put_back(host, connection),
+            (Some(connection), Away::Lend) => flow = Some(Flow::new(self.clone(), host, connection, gather)),
+            (connection, away) => {
+                drop(connection);
+                if away == Away::Surplus {
+                    self.counters.ended(End::HostSurplus);
+                }
+            }
+        }
+        self.counters.ended(told.end);
+        if told.end == End::ConnectSilent {
+            self.count_missed(host, |missed| missed.saturating_add(1));
+        }
+        log::debug!(
+            "attempt host={host} class={} cluster={} end={:?} took={} written={} reused={reused}",
+            statement.class,
+            statement.cluster,
+            told.end,
+            now - began,
+            written.map_or(-1, |at| at - began),
+        );
+        // What a host said counts only if that is how the attempt ended.
+        let reply = reply.filter(|_| told.end.is_answer());
+        let outcome = match (&reply, &flow) {
+            (Some(reply), _) => outcome(told.end, &reply.told, now),
+            (None, Some(flow)) => outcome(told.end, flow.told(), now),
+            (None, None) => Outcome::silent(told.end.for_decisions()),
+        };
+        let owed = attempt.report(now, outcome);
+        let answer = match (reply, flow) {
+            (Some(reply), _) => Some(GivenAnswer::Whole(reply.answer)),
+            (None, flow) => flow.map(|flow| GivenAnswer::Flow(Box::new(flow))),
+        };
+        answer.map(|answer| Given { answer, _hold: hold }).filter(|_| owed)
+    }
+
+    /// Does what the stage of an attempt asks for, until something happens. May be cancelled without loss.
+    async fn work(
+        &self,
+        stage: Stage,
+        host: MemberId,
+        until: Time,
+        statement: &Statement,
+        line: &mut Line,
+    ) -> Event {
+        let Some(connection) = &mut line.connection else {
+            return match self.connect(host).await {
+                Ok(connection) => {
+                    line.connection = Some(connection);
+                    Event::Connected
+                }
+                Err(event) => event,
+            };
+        };
+        match stage {
+            Stage::Writing => {
+                let left = until - self.clock.now();
+                let query =
+                    line.query.get_or_insert_with(|| Box::new(statement.query((left / 1000).max(1) as u64)));
+                match connection.stream.write_all_buf(query).await {
+                    Ok(()) => {
+                        self.counters.sent.add();
+                        Event::Written
+                    }
+                    Err(_) => Event::Broke,
+                }
+            }
+            Stage::Connecting { .. } | Stage::Greeting { .. } => self.greeting(line).await,
+            Stage::Waiting | Stage::Answering { .. } => self.answer(stage, line).await,
+            Stage::Ended(_) => std::future::pending().await,
+        }
+    }
+
+    /// What a host says before it takes requests.
+    async fn greeting(&self, line: &mut Line) -> Event {
+        let Some(connection) = &mut line.connection else { return Event::Broke };
+        loop {
+            loop {
+                let message = match connection.next() {
+                    Ok(Some(message)) => message,
+                    Ok(None) => break,
+                    Err(_) => return Event::Malformed,
+                };
+                match message.kind() {
+                    b'R' if message.body() == [0; 4] => {}
+                    b'S' | b'K' | b'N' | b'v' => {}
+                    b'Z' => return Event::Greeted,
+                    b'E' => {
+                        let mut gather = Gather::default();
+                        if gather.take(message).is_err() {
+                            return Event::Malformed;
+                        }
+                        line.reply = gather.ended();
+                        let end = line.reply.as_ref().map(judge);
+                        return end.map_or(Event::Broke, Event::TurnedAway);
+                    }
+                    _ => return Event::Malformed,
+                }
+            }
+            if connection.read(&self.room, room::SIZE).await.is_err() {
+                return Event::Broke;
+            }
+            if !line.hold.set(connection.framer.len()) {
+                return Event::NoMemory;
+            }
+        }
+    }
+
+    /// What a host says to a request that was written.
+    async fn answer(&self, stage: Stage, line: &mut Line) -> Event {
+        let Some(connection) = &mut line.connection else { return Event::Broke };
+        let mut began = false;
+        loop {
+            loop {
+                let message = match connection.next() {
+                    Ok(Some(message)) => message,
+                    Ok(None) => break,
+                    Err(Event::Flows) if !line.gather.awaits_row() => return Event::Malformed,
+                    Err(event) => return event,
+                };
+                line.taken += message.raw.len();
+                line.hash.write(&message.raw);
+                match line.gather.take(message) {
+                    Err(_) => return Event::Malformed,
+                    Ok(None) => {}
+                    Ok(Some(reply)) => {
+                        let row = matches!(reply.answer, Answer::Row(_));
+                        let tells = reply.told.iter().any(|(name, _)| name == "log_position");
+                        let this = is_unlike_others(row, tells).then(|| line.hash.finish());
+                        let last = std::mem::replace(&mut connection.last, this);
+                        let (end, copy) = (judge(&reply), is_copy(connection.recent, last, this));
+                        line.reply = Some(reply);
+                        return Event::Answered { end, copy };
+                    }
+                }
+            }
+            // Most answers come whole; only of one that does not is it told that it has begun.
+            if began {
+                return Event::Began;
+            }
+            if connection.read(&self.room, room::SIZE).await.is_err() {
+                line.reply = line.gather.ended();
+                let end = line.reply.as_ref().map(judge);
+                return end.map_or(Event::Broke, |end| Event::Answered { end, copy: false });
+            }
+            if !line.hold.set(line.taken + connection.framer.len()) {
+                return Event::NoMemory;
+            }
+            began = stage == Stage::Waiting;
+        }
+    }
+}
+
+/// What a host said to a request, with its share of the memory.
+pub struct Given {
+    /// What it said.
+    pub answer: GivenAnswer,
+    pub(super) _hold: Hold,
+}
+
+/// An answer, or the beginning of one.
+pub enum GivenAnswer {
+    /// A row, or an error that no other host would spare the client.
+    Whole(Answer),
+    /// A row so long that it is passed on as it comes.
+    Flow(Box<Flow>),
+}
+
+/// An attempt's connection and what has been read of its answer.
+struct Line {
+    connection: Option<Connection>,
+    query: Option<Box<dyn Buf>>,
+    gather: Gather,
+    taken: usize,
+    hash: DefaultHasher,
+    reply: Option<Reply>,
+    hold: Hold,
+}
+
+impl Line {
+    fn new(connection: Option<Connection>, hold: Hold) -> Line {
+        let (gather, hash) = (Gather::default(), DefaultHasher::new());
+        Line { connection, query: None, gather, taken: 0, hash, reply: None, hold }
+    }
+}
+
+/// How an answered attempt ended.
+fn judge(reply: &Reply) -> End {
+    match &reply.answer {
+        Answer::Row(_) => End::Served,
+        Answer::Error(code) => verdict::of_code(code),
+    }
+}
+
+/// What the decisions are told of an answered attempt.
+pub(super) fn outcome(end: End, told: &[(String, String)], now: Time) -> Outcome {
+    let mut outcome = Outcome::silent(end.for_decisions());
+    outcome.unusable = end == End::Unusable;
+    for (name, value) in told {
+        match name.as_str() {
+            "replication_role" => {
+                outcome.role = match value.as_str() {
+                    "primary" => Some(Role::Primary),
+                    "standby" => Some(Role::Replica),
+                    _ => None,
+                }
+            }
+            "log_position" => {
+                outcome.position = value.parse().ok().and_then(|ms| verdict::position(ms, now));
+            }
+            "pressure" => outcome.report = pressure(value),
+            _ => {}
+        }
+    }
+    outcome
+}
+
+/// A load report: names and values, positions as Unix times in seconds.
+fn pressure(text: &str) -> Report {
+    let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
+    settings::report(0, pairs.filter_map(|(name, value)| Some((name.trim(), value.trim().parse().ok()?))))
+}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,11 +1,13 @@
 //! Client sessions: PostgreSQL's simple queries in, one final answer out for each.
 
 use crate::facade::{Decision, Facade, Request, Visit};
+use crate::net::attempt::{Given, GivenAnswer};
 use crate::net::budget::{Budget, Idleness, Slot};
 use crate::net::clock::Clock;
 use crate::net::counters::{Counters, Gauge};
 use crate::net::ending::End;
-use crate::net::hosts::{Given, Hosts};
+use crate::net::flow::Flow;
+use crate::net::hosts::Hosts;
 use crate::net::inbox::{Flaw, Heard, Inbox, UNFINISHED, UNKNOWN};
 use crate::net::pg::{self, Answer, Severity};
 use crate::net::room::Room;
@@ -377,8 +379,12 @@
             self.front.clock.now() - taken.request.at,
             until - self.front.clock.now(),
         );
-        match &given {
-            Final::Given(Given { answer: Answer::Row(row), .. }) => {
+        match given {
+            Final::Given(Given { answer: GivenAnswer::Flow(flow), _hold }) => {
+                counters.served.add();
+                return self.pass_on(*flow, &taken).await;
+            }
+            Final::Given(Given { answer: GivenAnswer::Whole(Answer::Row(row)), _hold }) => {
                 counters.served.add();
                 self.front.put_mark(&mut out, &taken);
                 pg::put_ready(&mut out);
@@ -387,13 +393,19 @@
                 let whole = first.chain(second).chain(third).chain(Bytes::from(out));
                 return self.write(whole, until).await;
             }
-            Final::Given(Given { answer: Answer::Error(code), .. }) => {
+            Final::Given(Given { answer: GivenAnswer::Whole(Answer::Error(code)), _hold }) => {
                 counters.bad_statements.add();
-                pg::put_error(&mut out, Severity::Error, code, "the database cannot use the statement", None);
+                pg::put_error(
+                    &mut out,
+                    Severity::Error,
+                    &code,
+                    "the database cannot use the statement",
+                    None,
+                );
             }
             Final::Refused { wait } => {
                 counters.refused.add();
-                let hint = (*wait > 0).then(|| (wait / 1000).max(1).to_string());
+                let hint = (wait > 0).then(|| (wait / 1000).max(1).to_string());
                 let text = "too busy for this request now";
                 pg::put_error(&mut out, Severity::Error, "53300", text, hint.as_deref());
             }
@@ -409,6 +421,19 @@
         self.write(&out[..], until).await
     }
 
+    /// Passes a long row on as it comes. Cut off in the middle, the connection ends, so that its client can tell.
+    async fn pass_on(&mut self, mut flow: Flow, taken: &Taken) -> Result<(), End> {
+        let (mut out, front) = (Vec::new(), self.front.clone());
+        flow.pass(&mut self.writer).await?;
+        let host = flow.host();
+        let (complete, said) = flow.end().await?;
+        front.facade.heard(front.clock.now(), host, said);
+        out.extend_from_slice(&complete);
+        front.put_mark(&mut out, taken);
+        pg::put_ready(&mut out);
+        self.write(&out[..], front.clock.now()).await
+    }
+
     async fn decide(&mut self, taken: &Taken) -> Result<Final, End> {
         let front = self.front.clone();
         front.counters.requests.add();
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -1,26 +1,19 @@
-//! Connections to database hosts: the pool, and one attempt on one of them.
+//! Connections to database hosts: where they are, and the pool of those that rest.
 
-use crate::facade::{Attempt, Outcome};
-use crate::net::budget::{Budget, Hold, Idleness, Slot};
+use crate::net::budget::{Budget, Idleness};
 use crate::net::clock::Clock;
 use crate::net::counters::{Counters, Gauge};
-use crate::net::pg::{self, Answer, Framer, Gather, Message, Reply};
+use crate::net::link::Connection;
+use crate::net::pg::{self, Framer};
 use crate::net::room::Room;
-use crate::net::statement::Statement;
-use crate::{settings, MemberId, Report, Role, Time};
-use bytes::Buf;
+use crate::{MemberId, Time};
 use petrelgauge_lifecycle::ending::End;
-use petrelgauge_lifecycle::exchange::{Away, Event, Exchange, Stage};
+use petrelgauge_lifecycle::exchange::Event;
 use petrelgauge_lifecycle::patience::Patience;
-use petrelgauge_lifecycle::rest::{is_copy, is_unlike_others, Keep, Look, Resting};
-use petrelgauge_lifecycle::verdict;
-use socket2::SockRef;
+use petrelgauge_lifecycle::rest::Keep;
 use std::cell::{Cell, RefCell};
-use std::collections::hash_map::DefaultHasher;
 use std::collections::BTreeMap;
-use std::hash::Hasher;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -50,26 +43,16 @@
     missed: u32,
 }
 
-struct Connection {
-    stream: TcpStream,
-    framer: Framer,
-    site: Site,
-    /// The last answer, hashed, if no other can be alike to it but a copy.
-    last: Option<u64>,
-    recent: bool,
-    _slot: Slot,
-}
-
 /// All database hosts that discovery named.
 pub struct Hosts {
     hosts: RefCell<BTreeMap<MemberId, Host>>,
-    clock: Clock,
-    budget: Rc<Budget>,
-    counters: Rc<Counters>,
-    room: Rc<Room>,
+    pub(super) clock: Clock,
+    pub(super) budget: Rc<Budget>,
+    pub(super) counters: Rc<Counters>,
+    pub(super) room: Rc<Room>,
     patience: Cell<Patience>,
     keep: Cell<Keep>,
-    out: Gauge,
+    pub(super) out: Gauge,
 }
 
 impl Hosts {
@@ -191,193 +174,8 @@
         true
     }
 
-    /// Makes one attempt and reports it. Gives what the host said if it is the request's final answer.
-    pub async fn attempt(self: Rc<Self>, mut attempt: Attempt, statement: Rc<Statement>) -> Option<Given> {
-        self.counters.attempts.add();
-        let _out = self.out.enter();
-        let (host, until) = (attempt.host, attempt.until);
-        let mut line = Line::new(self.reuse(host), self.budget.hold(false));
-        let now = self.clock.now();
-        let (began, reused, mut written) = (now, line.connection.is_some(), None);
-        let mut life = Exchange::new(reused, now, now + self.patience(host), until);
-        // One timer for as long as the limit is the same.
-        let mut due = life.due();
-        let mut timer = pin!(self.clock.sleep_until(due));
-        while life.ended().is_none() {
-            if life.due() != due {
-                due = life.due();
-                timer.set(self.clock.sleep_until(due));
-            }
-            let event = tokio::select! {
-                biased;
-                event = self.work(life.stage(), host, until, &statement, &mut line) => event,
-                () = attempt.called_off() => Event::CalledOff,
-                () = &mut timer => {
-                    timer.set(self.clock.sleep_until(due));
-                    Event::Due
-                }
-            };
-            life.on(self.clock.now(), event);
-            if event == Event::Greeted {
-                self.came_up(host, self.clock.now() - began);
-            }
-            written = written.or_else(|| life.may_have_run().then(|| self.clock.now()));
-        }
-        let now = self.clock.now();
-        let Line { connection, reply, hold, .. } = line;
-        if reply.as_ref().is_some_and(|reply| reply.ready) {
-            life.host_is_ready();
-        }
-        let unread = connection.as_ref().is_some_and(|connection| !connection.framer.is_empty());
-        let (away, told) = life.put_away(unread)?;
-        match (connection, away) {
-            (Some(connection), Away::Rest) => self.put_back(host, connection),
-            (connection, away) => {
-                drop(connection);
-                if away == Away::Surplus {
-                    self.counters.ended(End::HostSurplus);
-                }
-            }
-        }
-        self.counters.ended(told.end);
-        if told.end == End::ConnectSilent {
-            self.count_missed(host, |missed| missed.saturating_add(1));
-        }
-        log::debug!(
-            "attempt host={host} class={} cluster={} end={:?} took={} written={} reused={reused}",
-            statement.class,
-            statement.cluster,
-            told.end,
-            now - began,
-            written.map_or(-1, |at| at - began),
-        );
-        // What a host said counts only if that is how the attempt ended.
-        let reply = reply.filter(|_| told.end.is_answer());
-        let outcome = match &reply {
-            Some(reply) => outcome(told.end, reply, now),
-            None => Outcome::silent(told.end.for_decisions()),
-        };
-        let owed = attempt.report(now, outcome);
-        reply.map(|reply| Given { answer: reply.answer, _hold: hold }).filter(|_| owed)
-    }
-
-    /// Does what the stage of an attempt asks for, until something happens. May be cancelled without loss.
-    async fn work(
-        &self,
-        stage: Stage,
-        host: MemberId,
-        until: Time,
-        statement: &Statement,
-        line: &mut Line,
-    ) -> Event {
-        let Some(connection) = &mut line.connection else {
-            return match self.connect(host).await {
-                Ok(connection) => {
-                    line.connection = Some(connection);
-                    Event::Connected
-                }
-                Err(event) => event,
-            };
-        };
-        match stage {
-            Stage::Writing => {
-                let left = until - self.clock.now();
-                let query =
-                    line.query.get_or_insert_with(|| Box::new(statement.query((left / 1000).max(1) as u64)));
-                match connection.stream.write_all_buf(query).await {
-                    Ok(()) => {
-                        self.counters.sent.add();
-                        Event::Written
-                    }
-                    Err(_) => Event::Broke,
-                }
-            }
-            Stage::Connecting { .. } | Stage::Greeting { .. } => self.greeting(line).await,
-            Stage::Waiting | Stage::Answering { .. } => self.answer(stage, line).await,
-            Stage::Ended(_) => std::future::pending().await,
-        }
-    }
-
-    /// What a host says before it takes requests.
-    async fn greeting(&self, line: &mut Line) -> Event {
-        let Some(connection) = &mut line.connection else { return Event::Broke };
-        loop {
-            loop {
-                let message = match connection.next() {
-                    Ok(Some(message)) => message,
-                    Ok(None) => break,
-                    Err(event) => return event,
-                };
-                match message.kind() {
-                    b'R' if message.body() == [0; 4] => {}
-                    b'S' | b'K' | b'N' | b'v' => {}
-                    b'Z' => return Event::Greeted,
-                    b'E' => {
-                        let mut gather = Gather::default();
-                        if gather.take(message).is_err() {
-                            return Event::Malformed;
-                        }
-                        line.reply = gather.ended();
-                        let end = line.reply.as_ref().map(judge);
-                        return end.map_or(Event::Broke, Event::TurnedAway);
-                    }
-                    _ => return Event::Malformed,
-                }
-            }
-            if connection.read(&self.room).await.is_err() {
-                return Event::Broke;
-            }
-            if !line.hold.set(connection.framer.len()) {
-                return Event::NoMemory;
-            }
-        }
-    }
-
-    /// What a host says to a request that was written.
-    async fn answer(&self, stage: Stage, line: &mut Line) -> Event {
-        let Some(connection) = &mut line.connection else { return Event::Broke };
-        let mut began = false;
-        loop {
-            loop {
-                let message = match connection.next() {
-                    Ok(Some(message)) => message,
-                    Ok(None) => break,
-                    Err(event) => return event,
-                };
-                line.taken += message.raw.len();
-                line.hash.write(&message.raw);
-                match line.gather.take(message) {
-                    Err(_) => return Event::Malformed,
-                    Ok(None) => {}
-                    Ok(Some(reply)) => {
-                        let row = matches!(reply.answer, Answer::Row(_));
-                        let tells = reply.told.iter().any(|(name, _)| name == "log_position");
-                        let this = is_unlike_others(row, tells).then(|| line.hash.finish());
-                        let last = std::mem::replace(&mut connection.last, this);
-                        let (end, copy) = (judge(&reply), is_copy(connection.recent, last, this));
-                        line.reply = Some(reply);
-                        return Event::Answered { end, copy };
-                    }
-                }
-            }
-            // Most answers come whole; only of one that does not is it told that it has begun.
-            if began {
-                return Event::Began;
-            }
-            if connection.read(&self.room).await.is_err() {
-                line.reply = line.gather.ended();
-                let end = line.reply.as_ref().map(judge);
-                return end.map_or(Event::Broke, |end| Event::Answered { end, copy: false });
-            }
-            if !line.hold.set(line.taken + connection.framer.len()) {
-                return Event::NoMemory;
-            }
-            began = stage == Stage::Waiting;
-        }
-    }
-
     /// A connection that rested and may carry a request.
-    fn reuse(&self, id: MemberId) -> Option<Connection> {
+    pub(super) fn reuse(&self, id: MemberId) -> Option<Connection> {
         let now = self.clock.now();
         let mut hosts = self.hosts.borrow_mut();
         let idle = &mut hosts.get_mut(&id)?.idle;
@@ -394,7 +192,7 @@
         }
     }
 
-    fn put_back(&self, id: MemberId, connection: Connection) {
+    pub(super) fn put_back(&self, id: MemberId, connection: Connection) {
         let mut hosts = self.hosts.borrow_mut();
         let home = hosts.get_mut(&id).filter(|host| host.site == connection.site && host.site.up);
         match (self.keep.get().come_to_rest(home.is_some()), home) {
@@ -404,25 +202,25 @@
     }
 
     /// The span that a new connection to this host is given to come up.
-    fn patience(&self, id: MemberId) -> Time {
+    pub(super) fn patience(&self, id: MemberId) -> Time {
         let missed = self.hosts.borrow().get(&id).map_or(0, |host| host.missed);
         self.patience.get().span(missed)
     }
 
-    fn came_up(&self, id: MemberId, took: Time) {
+    pub(super) fn came_up(&self, id: MemberId, took: Time) {
         let mut patience = self.patience.get();
         patience.came_up(took);
         self.patience.set(patience);
         self.count_missed(id, |_| 0);
     }
 
-    fn count_missed(&self, id: MemberId, count: impl Fn(u32) -> u32) {
+    pub(super) fn count_missed(&self, id: MemberId, count: impl Fn(u32) -> u32) {
         if let Some(host) = self.hosts.borrow_mut().get_mut(&id) {
             host.missed = count(host.missed);
         }
     }
 
-    async fn connect(&self, id: MemberId) -> Result<Connection, Event> {
+    pub(super) async fn connect(&self, id: MemberId) -> Result<Connection, Event> {
         let site = self.hosts.borrow().get(&id).map(|host| host.site);
         let site = site.ok_or(Event::NotTried(End::NoAddress))?;
         if !self.make_room() {
@@ -449,102 +247,3 @@
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
 const EADDRNOTAVAIL: i32 = 99;
-
-/// What a host said to a request, with its share of the memory.
-pub struct Given {
-    /// A row, or an error that no other host would spare the client.
-    pub answer: Answer,
-    _hold: Hold,
-}
-
-/// An attempt's connection and what has been read of its answer.
-struct Line {
-    connection: Option<Connection>,
-    query: Option<Box<dyn Buf>>,
-    gather: Gather,
-    taken: usize,
-    hash: DefaultHasher,
-    reply: Option<Reply>,
-    hold: Hold,
-}
-
-impl Line {
-    fn new(connection: Option<Connection>, hold: Hold) -> Line {
-        let (gather, hash) = (Gather::default(), DefaultHasher::new());
-        Line { connection, query: None, gather, taken: 0, hash, reply: None, hold }
-    }
-}
-
-impl Connection {
-    /// The next message, if it is there whole.
-    fn next(&mut self) -> Result<Option<Message>, Event> {
-        match self.framer.kind() {
-            Some(kind) if !pg::FROM_HOST.contains(&kind) => Err(Event::Malformed),
-            _ => self.framer.message().map_err(|_| Event::Malformed),
-        }
-    }
-
-    fn resting(&self, since: Time) -> Resting {
-        Resting { since, tells_copies: self.last.is_some() }
-    }
-
-    /// Reads once. The framer bounds what is kept: no message is longer than `pg::MOST`.
-    async fn read(&mut self, room: &Room) -> Result<(), Event> {
-        loop {
-            self.stream.readable().await.map_err(|_| Event::Broke)?;
-            let stream = &self.stream;
-            match room.read(|bytes| stream.try_read(bytes), Some(&mut self.framer)) {
-                Ok(Some(0)) | Err(_) => return Err(Event::Broke),
-                Ok(Some(_)) => return Ok(()),
-                Ok(None) => {}
-            }
-        }
-    }
-
-    /// What the kernel says of it while it rests. The kernel is asked itself: the reactor has not yet heard of what
-    /// came a moment ago.
-    fn look(&self) -> Look {
-        match SockRef::from(&self.stream).peek(&mut [std::mem::MaybeUninit::uninit()]) {
-            Err(cause) if cause.kind() == std::io::ErrorKind::WouldBlock => Look::Quiet,
-            Ok(0) | Err(_) => Look::Closed,
-            Ok(_) => Look::Spoke,
-        }
-    }
-}
-
-/// How an answered attempt ended.
-fn judge(reply: &Reply) -> End {
-    match &reply.answer {
-        Answer::Row(_) => End::Served,
-        Answer::Error(code) => verdict::of_code(code),
-    }
-}
-
-/// What the decisions are told of an answered attempt.
-fn outcome(end: End, reply: &Reply, now: Time) -> Outcome {
-    let mut outcome = Outcome::silent(end.for_decisions());
-    outcome.unusable = end == End::Unusable;
-    for (name, value) in &reply.told {
-        match name.as_str() {
-            "replication_role" => {
-                outcome.role = match value.as_str() {
-                    "primary" => Some(Role::Primary),
-                    "standby" => Some(Role::Replica),
-                    _ => None,
-                }
-            }
-            "log_position" => {
-                outcome.position = value.parse().ok().and_then(|ms| verdict::position(ms, now));
-            }
-            "pressure" => outcome.report = pressure(value),
-            _ => {}
-        }
-    }
-    outcome
-}
-
-/// A load report: names and values, positions as Unix times in seconds.
-fn pressure(text: &str) -> Report {
-    let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
-    settings::report(0, pairs.filter_map(|(name, value)| Some((name.trim(), value.trim().parse().ok()?))))
-}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,16 +1,19 @@
 //! The gateway on sockets: PostgreSQL clients in front, database hosts behind, discovery beside.
 //! Nothing here decides anything; every decision comes from the [facade](crate::facade).
 
+pub mod attempt;
 pub mod budget;
 pub mod clock;
 pub mod config;
 pub mod counters;
 pub mod discovery;
 pub use petrelgauge_lifecycle::ending;
+pub mod flow;
 pub mod front;
 pub mod hosts;
 mod inbox;
 pub mod inherited;
+mod link;
 pub mod ops;
 pub mod peers;
 pub mod pg;
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -5,6 +5,12 @@
 
 /// Longest message taken from either side. A value has 64 KiB at most and twice that as hexadecimal digits.
 pub const MOST: usize = 160 * 1024;
+/// Length of a row's message beyond which it is passed on as it comes: a value of 64 KiB and what stands before it.
+pub const LONG: usize = 64 * 1024 + ROW_HEAD;
+/// The longest row: a value of 4 MiB.
+pub const MOST_ROW: usize = 4 * 1024 * 1024 + ROW_HEAD;
+/// Length, count of columns and length of the value, before the value itself.
+const ROW_HEAD: usize = 4 + 2 + 4;
 /// A setting that a client is told of, beside what it asked for.
 pub fn put_status(out: &mut Vec<u8>, name: &str, value: &str) {
     out.push(b'S');
@@ -132,6 +138,23 @@
         Ok(Some(Message { raw }))
     }
 
+    /// The next message begins a long row of one value: the bytes of all of it.
+    pub fn long_row(&self) -> Option<usize> {
+        let length = self.length_at(1).filter(|length| (LONG + 1..=MOST_ROW).contains(length))?;
+        let columns = self.buffer.get(5..7).filter(|columns| **columns == [0, 1]);
+        let fits = self.length_at(7).is_some_and(|value| value + ROW_HEAD == length);
+        (self.buffer.first() == Some(&b'D') && columns.is_some() && fits).then_some(1 + length)
+    }
+
+    /// Takes what is there, so many bytes at most, whatever they mean.
+    pub fn take(&mut self, most: usize) -> Bytes {
+        let taken = self.buffer.split_to(most.min(self.buffer.len())).freeze();
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+        taken
+    }
+
     fn length_at(&self, place: usize) -> Option<usize> {
         let bytes = self.buffer.get(place..place + 4)?;
         Some(u32::from_be_bytes(bytes.try_into().ok()?) as usize)
@@ -308,6 +331,23 @@
         Ok(None)
     }
 
+    /// A long row follows, which is not kept. Gives what stood before it.
+    pub fn begun(&mut self) -> Bytes {
+        let description = self.row.first().cloned().unwrap_or_default();
+        self.row.push(Bytes::new());
+        description
+    }
+
+    /// Whether a row may come next.
+    pub fn awaits_row(&self) -> bool {
+        self.row.len() == 1 && self.error.is_none()
+    }
+
+    /// What the host has said of itself.
+    pub fn told(&self) -> &[(String, String)] {
+        &self.told
+    }
+
     /// No more comes. A host may close after an error without saying that it is ready.
     pub fn ended(&mut self) -> Option<Reply> {
         self.error.as_ref()?;
--- a/src/net/room.rs
+++ b/src/net/room.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 /// Bytes that are read at once.
-const SIZE: usize = 64 * 1024;
+pub const SIZE: usize = 64 * 1024;
 
 /// The room.
 pub struct Room(RefCell<Box<[u8]>>);
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -205,3 +205,65 @@
     taken(&gateway, 1);
     assert_eq!(kinds(&client.ask(&select("a", "extra", 20000))), "TDCZ");
 }
+
+/// A row of this length, cut into its head and a value that tells where it is out of order.
+fn long_row(length: usize) -> Vec<u8> {
+    row(&(0..length).map(|place| (place % 251) as u8).collect::<Vec<u8>>())
+}
+
+#[test]
+fn a_row_of_four_mib_passes_through_a_slow_client_and_the_connection_is_used_again() {
+    let stage = Stage::new(60);
+    let whole: &'static [u8] = long_row(4 << 20).leak();
+    let after: &'static [u8] =
+        [whole, &message(b'S', b"replication_role\0primary\0")[..], &message(b'Z', b"I")].concat().leak();
+    let host = stage.host(vec![Say::Bytes(after), Say::Row(b"short"), Say::Bytes(after)]);
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let mut client = gateway.client();
+    client.write(&query(&select("a", VIEW, 20000)));
+    // The first bytes come although nobody takes the rest.
+    let mut got = client.bytes(1000);
+    std::thread::sleep(std::time::Duration::from_millis(700));
+    got.extend(client.bytes(whole.len() - 1000));
+    assert!(got == whole, "every byte in its place");
+    assert_eq!(kinds(&client.until_ready()), "Z");
+    gateway.rest();
+    assert_eq!(client.ask(&select("b", VIEW, 20000))[1].1[6..], *b"short");
+    gateway.rest();
+    assert_eq!(kinds(&client.ask(&select("c", VIEW, 20000))), "TDCZ");
+    gateway.wait_for_counter("host_connects=1 ");
+}
+
+#[test]
+fn a_host_that_stops_in_the_middle_of_a_long_row_ends_the_client_and_nothing_is_tried_again() {
+    let stage = Stage::new(61);
+    let begun: &'static [u8] = long_row(1 << 20)[..300_000].to_vec().leak();
+    let host = stage.host(vec![Say::Cut(begun), Say::Row(b"other")]);
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let mut client = gateway.client();
+    client.write(&query(&select("a", VIEW, 20000)));
+    let mut got = client.bytes(begun.len());
+    got.extend(client.until_end());
+    assert!(got == begun, "what came, and then the end");
+    assert_eq!(kinds(&gateway.client().ask(&select("b", VIEW, 20000))), "TDCZ", "the next is served");
+    assert_eq!(host.queries(), 2);
+}
+
+#[test]
+fn a_row_longer_than_any_value_makes_no_sense() {
+    let stage = Stage::new(62);
+    let begun: &'static [u8] = long_row((4 << 20) + 1)[..100].to_vec().leak();
+    let host = stage.host(vec![Say::Bytes(begun), Say::Row(b"other")]);
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    assert_eq!(gateway.client().ask(&select("a", VIEW, 20000))[1].1[6..], *b"other");
+    gateway.wait_for_counter("HostMalformed=1");
+}
+
+#[test]
+fn a_short_answer_in_pieces_is_put_together() {
+    let stage = Stage::new(63);
+    let host = stage.host(vec![Say::Pieces(b"in pieces", 20, 40)]);
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    assert_eq!(gateway.client().ask(&select("a", VIEW, 20000))[1].1[6..], *b"in pieces");
+    assert_eq!(host.queries(), 1);
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -83,6 +83,10 @@
     Surplus(&'static [u8], &'static [u8]),
     /// These bytes and no more.
     Bytes(&'static [u8]),
+    /// These bytes, and the connection's end.
+    Cut(&'static [u8]),
+    /// A row, in so many bytes at a time and so many milliseconds apart.
+    Pieces(&'static [u8], usize, u64),
     WaitForGo(&'static [u8]),
     /// No answer, and the connection closed when the test says so.
     CloseOnGo,
@@ -176,6 +180,18 @@
                 let _ = stream.write_all(&[row(value), ready.clone(), behind.to_vec()].concat());
                 continue;
             }
+            Some(Say::Cut(bytes)) => {
+                let _ = stream.write_all(bytes);
+                return;
+            }
+            Some(Say::Pieces(value, size, apart)) => {
+                let whole = [row(value), ready.clone()].concat();
+                for piece in whole.chunks(size) {
+                    let _ = stream.write_all(piece);
+                    thread::sleep(Duration::from_millis(apart));
+                }
+                continue;
+            }
             Some(Say::WaitForGo(value)) => {
                 go.lock().expect("a signal").recv_timeout(NEVER).expect("it may go on");
                 row(value)
@@ -572,6 +588,13 @@
         bytes
     }
 
+    /// What comes until the connection ends.
+    pub fn until_end(&mut self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        let _ = self.0.read_to_end(&mut bytes);
+        bytes
+    }
+
     pub fn until_ready(&mut self) -> Vec<(u8, Vec<u8>)> {
         let mut messages = Vec::new();
         while messages.last().is_none_or(|(kind, _)| *kind != b'Z') {
