Hand over between two processes by letters, and close over no query that was read

Need: two processes count as one gateway, and the next one is to start warm.

Change: crates/handover (letters, company), Router::beliefs, net/handover.rs on a thread of its own, budget and open requests follow what the others hold; Inbox::holds and a look into the kernel before every close.

--- /dev/null
+++ b/crates/handover/tests/letters.rs
@@ -0,0 +1,121 @@
+//! Letters that are cut, changed, old or of another build.
+
+use petrelgauge_handover::{Letter, LetterError, MOST_BYTES};
+use petrelgauge_policy::*;
+use proptest::prelude::*;
+
+/// A router that has learned something.
+fn learned() -> Router {
+    let class = Class {
+        name: "view".into(),
+        need: Need::Eventual,
+        effect: Effect::Safe,
+        attempts: 4,
+        aim: 200_000,
+        deadline: 1_000_000,
+        worth: 1.0,
+        late_share: 0.0,
+    };
+    let settings = Settings { classes: vec![class], ..Settings::default() };
+    let mut router = Router::new(settings, 7).expect("sound settings");
+    let entry = |member, primary| Entry {
+        member,
+        group: 9,
+        zone: "here".into(),
+        weight: 1.0,
+        started: 0,
+        standing: Standing::Up,
+        primary,
+    };
+    let mut actions = Vec::new();
+    let entries = vec![entry(1, true), entry(2, false)].into();
+    router.step(1_000_000, &[Event::List { whole: true, entries }], &mut actions);
+    for turn in 0..10 {
+        let now = 1_100_000 + turn * 50_000;
+        let request: RequestId = turn.to_string().into();
+        let ask = Event::Request {
+            request: request.clone(),
+            class: 0,
+            group: 9,
+            time_left: 900_000,
+            repeat: false,
+            floor: None,
+        };
+        actions.clear();
+        router.step(now, &[ask], &mut actions);
+        let Some(Action::Send { member, .. }) =
+            actions.iter().find(|action| matches!(action, Action::Send { .. }))
+        else {
+            continue;
+        };
+        let outcome = Event::Outcome {
+            request,
+            attempt: 0,
+            member: *member,
+            ending: Ending::Served,
+            took: 20_000,
+            closed: true,
+            position: Some(now),
+            role: Some(if *member == 1 { Role::Primary } else { Role::Replica }),
+            report: Report::default(),
+        };
+        router.step(now + 20_000, &[outcome], &mut actions);
+    }
+    router
+}
+
+fn letter() -> Letter {
+    let numbers = vec![("s-1".to_string(), 1), ("s-2".to_string(), 2)];
+    Letter { writer: 5, written: 1_700_000, numbers, beliefs: learned().beliefs(), ..Letter::default() }
+}
+
+#[test]
+fn what_was_learned_comes_back_as_it_was_and_nothing_that_was_out() {
+    let read = Letter::decode(&letter().encode()).expect("whole");
+    assert_eq!(format!("{:?}", read.beliefs), format!("{:?}", letter().beliefs));
+    assert_eq!((read.writer, read.numbers.len()), (5, 2));
+    let text = format!("{:?}", read.beliefs);
+    assert!(text.contains("out: 0") && !text.contains("out: 1"), "{text}");
+}
+
+#[test]
+fn an_old_letter_and_one_of_a_time_to_come_are_told_apart() {
+    let letter = letter();
+    assert_eq!(letter.age(1_700_500, 1_000), Ok(500));
+    assert_eq!(letter.age(1_701_001, 1_000), Err(LetterError::Old(1_001)));
+    assert_eq!(letter.age(1_699_999, 1_000), Err(LetterError::Ahead));
+}
+
+#[test]
+fn another_build_is_named_and_a_long_letter_is_refused_unread() {
+    let mut bytes = letter().encode();
+    bytes[6] = 9;
+    let end = bytes.len() - 4;
+    let check = crc32c::crc32c(&bytes[..end]).to_be_bytes();
+    bytes[end..].copy_from_slice(&check);
+    assert_eq!(Letter::decode(&bytes).err(), Some(LetterError::Version(9)));
+    assert_eq!(Letter::decode(&vec![0; MOST_BYTES + 1]).err(), Some(LetterError::Long));
+}
+
+#[test]
+fn one_that_would_be_too_long_still_tells_that_its_writer_runs() {
+    let numbers = (0..100_000).map(|number| (format!("member-{number:020}"), number)).collect();
+    let bytes = Letter { numbers, ..letter() }.encode();
+    assert!(bytes.len() <= MOST_BYTES);
+    assert_eq!(Letter::decode(&bytes).map(|letter| (letter.writer, letter.numbers.len())), Ok((5, 0)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, rng_seed: proptest::test_runner::RngSeed::Fixed(3), ..Default::default() })]
+
+    #[test]
+    fn a_cut_or_changed_letter_is_refused(cut in 0usize..4000, place in 0usize..4000, bit in 0u8..8) {
+        let whole = letter().encode();
+        let short = &whole[..cut % whole.len()];
+        prop_assert_eq!(Letter::decode(short).err(), Some(LetterError::Torn));
+        let mut changed = whole.clone();
+        let place = place % whole.len();
+        changed[place] ^= 1 << bit;
+        prop_assert!(Letter::decode(&changed).is_err());
+    }
+}
--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -126,6 +126,8 @@
     /// Members that the list names.
     listed: BTreeSet<MemberId>,
     rules: Rules,
+    /// What holds beside the classes.
+    settings: Settings,
     /// Places of classes that carry sessions.
     carrying: BTreeSet<usize>,
     keeper: Option<Keeper>,
@@ -156,6 +158,11 @@
     }
 }
 
+/// The settings with all classes that are in use.
+fn whole(settings: &Settings, rules: &Rules) -> Settings {
+    Settings { classes: rules.table().to_vec(), ..settings.clone() }
+}
+
 #[derive(Clone, Debug)]
 struct Open {
     class: usize,
@@ -188,6 +195,7 @@
             granularity: settings.granularity,
             rules: Rules::new(settings.classes.clone()),
             carrying: places.into_iter().collect(),
+            settings: Settings { classes: Vec::new(), ..settings.clone() },
             router: Router::new(settings, seed)?,
             stepped_at: Time::MIN / 2,
             timer_at: None,
@@ -213,6 +221,23 @@
         self.carrying.contains(&class)
     }
 
+    /// What the module has learned of the members so far.
+    pub fn beliefs(&self) -> Beliefs {
+        self.router.beliefs()
+    }
+
+    /// Starts from what another process has learned; to be called before the first list.
+    pub fn believe(&mut self, beliefs: Beliefs) {
+        self.router.believe(beliefs);
+    }
+
+    /// Clients can hold so many requests open here from now on.
+    pub fn allow_open(&mut self, most: u32) {
+        self.settings.most_open = most;
+        // They were sound before, and the module makes nothing of this figure.
+        let _ = self.router.follow(whole(&self.settings, &self.rules));
+    }
+
     /// The place of the class that a new request names, and the class; `keyed`: the request carries a key.
     pub fn find(&self, now: Time, name: &str, keyed: bool) -> Option<(usize, Class)> {
         let place = self.rules.find(now, name, keyed)?;
@@ -236,9 +261,9 @@
         let mut rules = self.rules.clone();
         let classes = std::mem::take(&mut settings.classes);
         rules.follow(now, classes, &used).map_err(|Full| NotTaken::Full)?;
-        settings.classes = rules.table().to_vec();
-        self.granularity = settings.granularity;
-        self.router.follow(settings).map_err(NotTaken::Unsound)?;
+        self.settings = settings;
+        self.granularity = self.settings.granularity;
+        self.router.follow(whole(&self.settings, &rules)).map_err(NotTaken::Unsound)?;
         let still = |place: &usize| rules.table()[*place] == *self.rules.class(*place);
         self.carrying.retain(|place| *place < rules.table().len() && still(place));
         self.carrying.extend(carrying.iter().map(|place| rules.force()[*place]));
--- /dev/null
+++ b/crates/policy/src/beliefs.rs
@@ -0,0 +1,59 @@
+//! What a router has learned of the members, as plain data that one process of a gateway can leave to the next. Nothing
+//! here decides anything.
+//!
+//! All of it is told with its time, on the clock that both read: samples grow old by themselves, and what a member says
+//! outweighs all of it. What was out or waiting belongs to requests of the other process, and stays behind.
+
+use crate::interface::{MemberId, Time};
+use crate::router::Router;
+use crate::state::{Group, Member, Samples};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// What a router has learned.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Beliefs {
+    members: BTreeMap<MemberId, Member>,
+    groups: BTreeMap<u64, Group>,
+    sojourns: Samples<f64>,
+    rate: f64,
+    rated_at: Time,
+    work: [f64; 2],
+    shed: f64,
+}
+
+impl Beliefs {
+    /// Nothing was learned.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+}
+
+impl Router {
+    /// What this router has learned so far.
+    pub fn beliefs(&self) -> Beliefs {
+        let mut members = self.members.clone();
+        for member in members.values_mut() {
+            (member.out, member.lost, member.quiet, member.probe_out) = (0, 0, (0.0, 0), false);
+        }
+        let mut groups = self.groups.clone();
+        groups.values_mut().for_each(|group| group.waiting.clear());
+        Beliefs {
+            members,
+            groups,
+            sojourns: self.sojourns.clone(),
+            rate: self.rate,
+            rated_at: self.rated_at,
+            work: self.work,
+            shed: self.shed,
+        }
+    }
+
+    /// Starts from what another router has learned. To be called before the first step: the list that follows says
+    /// which of these members there still are.
+    pub fn believe(&mut self, beliefs: Beliefs) {
+        let Beliefs { members, groups, sojourns, rate, rated_at, work, shed } = beliefs;
+        (self.members, self.groups, self.sojourns) = (members, groups, sojourns);
+        (self.rate, self.rated_at, self.work, self.shed) = (rate, rated_at, work, shed);
+    }
+}
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -237,7 +237,7 @@
 impl std::error::Error for SettingsError {}
 
 /// How a member stands on the list.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Standing {
     /// Runs.
     #[default]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,7 +14,8 @@
 //! | `router/cold.rs` | the budget of a member that has just started |
 //! | `router/sends.rs` | the guards that every send must pass |
 //!
-//! `interface.rs` holds the words (settings, events, actions, endings) and `state.rs` plain data; neither decides.
+//! `interface.rs` holds the words (settings, events, actions, endings), `state.rs` plain data, and `beliefs.rs` what of it
+//! one router can leave to the next; none of them decides.
 //!
 //! Bounds: requests by what clients can hold open ([`Settings::most_open`]), members by the list and a minute more,
 //! samples by a fixed count for each member.
@@ -59,11 +60,13 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { member: 1, .. })));
 //! ```
 
+mod beliefs;
 mod interface;
 mod mutant;
 mod router;
 mod state;
 
+pub use beliefs::Beliefs;
 pub use interface::*;
 #[cfg(feature = "mutants")]
 pub use mutant::plant;
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -88,9 +88,9 @@
     /// This router's part in the limits of a few.
     part: f64,
     rng: Dice,
-    now: Time,
-    members: BTreeMap<MemberId, Member>,
-    groups: BTreeMap<GroupId, Group>,
+    pub(crate) now: Time,
+    pub(crate) members: BTreeMap<MemberId, Member>,
+    pub(crate) groups: BTreeMap<GroupId, Group>,
     requests: BTreeMap<u64, Request>,
     names: BTreeMap<RequestId, u64>,
     outs: BTreeMap<(RequestId, u32), Out>,
@@ -106,16 +106,16 @@
     brief: Time,
     noted_at: Time,
     /// Served answers a second, as of when; members that answer.
-    rate: f64,
-    rated_at: Time,
+    pub(crate) rate: f64,
+    pub(crate) rated_at: Time,
     alive: usize,
     /// What all members showed lately, as `Member::sojourns`.
-    sojourns: Samples<f64>,
+    pub(crate) sojourns: Samples<f64>,
     watched_at: Time,
     /// Time that reads and writes lately took at members.
-    work: [f64; 2],
+    pub(crate) work: [f64; 2],
     /// Share of the least worthy reads that is refused unsent.
-    shed: f64,
+    pub(crate) shed: f64,
     actions: Vec<Action>,
 }
 
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -3,6 +3,7 @@
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -30,7 +31,7 @@
 pub(crate) type Samples<T> = VecDeque<(Time, T)>;
 
 /// What a router knows of a member.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Member {
     pub(crate) group: GroupId,
     pub(crate) zone: Arc<str>,
@@ -77,7 +78,7 @@
 }
 
 /// What it knows of a group.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Group {
     pub(crate) members: Vec<MemberId>,
     pub(crate) waiting: BTreeSet<u64>,
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -67,6 +67,27 @@
         Ok(())
     }
 
+    /// What the decisions have learned of the members so far.
+    pub fn beliefs(&self) -> Beliefs {
+        self.0.desk.borrow().beliefs()
+    }
+
+    /// Starts from what another process has learned; to be called before the first list.
+    pub fn believe(&self, beliefs: Beliefs) {
+        self.0.desk.borrow_mut().believe(beliefs);
+    }
+
+    /// Requests without an end.
+    pub fn open(&self) -> usize {
+        self.0.desk.borrow().held().0
+    }
+
+    /// Clients can hold so many requests open here from now on.
+    pub fn allow_open(&self, most: u32) {
+        self.0.desk.borrow_mut().allow_open(most);
+        self.0.woken.notify_one();
+    }
+
     /// The place of the class that a new request names, and the class; see [`Desk::find`].
     pub fn find(&self, now: Time, name: &str, keyed: bool) -> Option<(usize, Class)> {
         self.0.desk.borrow().find(now, name, keyed)
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,12 +8,14 @@
 use petrelgauge::net::counters::{Counters, Gauge};
 use petrelgauge::net::discovery::Follower;
 use petrelgauge::net::front::Front;
+use petrelgauge::net::handover::Handover;
 use petrelgauge::net::hosts::Hosts;
 use petrelgauge::net::inherited;
 use petrelgauge::net::ops::Ops;
 use petrelgauge::net::peers::Peers;
 use petrelgauge::net::room::Room;
 use petrelgauge::{Class, Need, Settings, Time};
+use petrelgauge_handover::company::Held;
 use petrelgauge_lifecycle::backoff::Backoff;
 use petrelgauge_lifecycle::gateway::{Do, Door, Event, Gateway, Stage};
 use petrelgauge_lifecycle::ops::{self, Known, MOST_CALLERS};
@@ -56,6 +58,7 @@
 
 async fn run(mut config: Config, inherited: Option<std::net::TcpListener>) -> Result<(), String> {
     let mut settings = settings(&config)?;
+    let whole = Rc::new(Cell::new(whole(&config, &settings)));
     let (classes, gateways) = (settings.classes.clone(), settings.routers);
     let clock = Clock::start().ahead(config.operator.clock_shift);
     let (sessions, others) = sessions(&config, &classes, clock.now())?;
@@ -63,21 +66,36 @@
     settings.hold = hold;
     let facade = Facade::with_sessions(settings, config.seed, sessions)
         .map_err(|cause| format!("settings: {cause}"))?;
+    // Where the platform holds the clients' socket, another process of this gateway may run, or have run a moment ago.
+    let shared = inherited.is_some();
+    let handover =
+        shared.then(|| Rc::new(Handover::new(std::env::temp_dir(), config.seed ^ std::process::id() as u64)));
+    let inherit = handover.as_ref().and_then(|handover| handover.inherit(clock.now()));
+    let given = inherit.map_or_else(Vec::new, |(letter, age)| {
+        log::info!("starting from what was learned {} ms ago of {} hosts", age / 1000, letter.numbers.len());
+        facade.believe(letter.beliefs);
+        letter.numbers
+    });
     let counters = Rc::new(Counters::default());
     let budget = Budget::new(config.sockets, config.memory);
     let room = Room::new();
     let (connect, idle) = (config.info.connect_span(), config.info.idle_span());
     let hosts = Hosts::new(clock, budget.clone(), counters.clone(), room.clone(), connect, idle);
     let backoff = Backoff::new(gateways, config.seed.rotate_left(32));
-    let follower =
-        Follower::new(facade.clone(), hosts.clone(), counters.clone(), clock, config.known.take(), backoff);
-    let told = follower.told();
+    let follower = Follower::new(
+        facade.clone(),
+        hosts.clone(),
+        counters.clone(),
+        clock,
+        config.known.take(),
+        backoff,
+        given,
+    );
+    let (told, numbers_of_hosts) = (follower.told(), follower.numbers());
     let heard = told.clone();
     let patience_until = clock.now() + LIST_PATIENCE;
     let mut reread: Result<Config, String> = Err(String::new());
     let (doors, door) = watch::channel(Door::Open);
-    // Where the platform holds the socket, another process of this gateway may accept from it as well.
-    let shared = inherited.is_some();
     let listener = inherited.map_or_else(|| listen(config.listen), TcpListener::from_std);
     let listener = listener.map_err(|cause| format!("cannot listen: {cause}"))?;
     let (desk, mut asked) = mpsc::channel(MOST_CALLERS);
@@ -106,6 +124,11 @@
         tasks.spawn_local(ops.accept(listener));
     }
     let seen = facade.clone();
+    let numbers = numbers_of_hosts;
+    if let Some(handover) = &handover {
+        let keep = handover.clone().keep(clock, facade.clone(), budget.clone(), numbers, whole.clone());
+        tasks.spawn_local(keep);
+    }
     let print = move |counters: &Counters| match seen.session_counts() {
         Some((sessions, gaps)) => log::info!("{counters} {sessions} gaps={gaps}"),
         None => log::info!("{counters}"),
@@ -171,10 +194,11 @@
             Do::Take | Do::Keep => {
                 let new = std::mem::replace(&mut reread, Err(String::new()));
                 match new.and_then(|new| reload(new, &config, hold, clock.now(), &facade, &hosts)) {
-                    Ok(new) => {
+                    Ok((new, open)) => {
                         counters.reloads.add();
                         let (at, version) = (new.discovery, facade.version());
                         log::info!("configuration read again, discovery is at {at}, settings {version} hold");
+                        whole.set(Held { open: open as usize, ..whole.get() });
                         discovery.send_if_modified(|known| std::mem::replace(known, at) != at);
                         config = new;
                     }
@@ -190,6 +214,7 @@
             Do::End => break,
         }
     }
+    handover.into_iter().for_each(|handover| handover.withdraw());
     print(&counters);
     Ok(())
 }
@@ -257,7 +282,13 @@
     Ok(settings)
 }
 
-/// The configuration was read again: its settings hold from now on, or nothing has changed. Gives what is in force.
+/// What this process may hold while it is the gateway's only one.
+fn whole(config: &Config, settings: &Settings) -> Held {
+    Held { sockets: config.sockets, memory: config.memory, open: settings.most_open as usize }
+}
+
+/// The configuration was read again: its settings hold from now on, or nothing has changed. Gives what is in force, and
+/// how many requests clients can hold open by it.
 fn reload(
     new: Config,
     old: &Config,
@@ -265,10 +296,11 @@
     now: Time,
     facade: &Facade,
     hosts: &Hosts,
-) -> Result<Config, String> {
+) -> Result<(Config, u32), String> {
     let mut settings = settings(&new)?;
     let carrying = carrying(&new, &settings.classes)?;
     (settings.hold, settings.most_open) = (hold, settings.most_open.min(old.sockets as u32 / 3));
+    let open = settings.most_open;
     let (connect, idle) = (new.info.connect_span(), new.info.idle_span());
     facade.follow(now, settings, &carrying).map_err(|cause| format!("settings: {cause}"))?;
     hosts.follow(connect, idle);
@@ -277,7 +309,7 @@
         log::warn!("only a start can follow the new {}", unmoved.join(", "));
     }
     // What only a start can follow stays as it was, to be named again by the next file.
-    Ok(old.with(new))
+    Ok((old.with(new), open))
 }
 
 /// Whether a gateway that shares its socket should leave clients to the other process for now.
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -2,6 +2,7 @@
 //! messages.
 
 use crate::Time;
+use petrelgauge_handover::company::Held;
 pub use petrelgauge_lifecycle::client::Idleness;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -11,6 +12,8 @@
 /// Descriptors kept for all that is not a client or a host: standard streams, the listener, the reactor,
 /// signals, discovery, and a few to accept with while others are being freed.
 const RESERVE: usize = 40;
+/// Of these, the ones that are open all the time.
+const OWN: usize = 16;
 /// Part of the memory that messages may take: the program itself and what it remembers need the rest.
 const MESSAGES: usize = 4;
 /// So many bytes of messages any connection may hold, however many all hold together: the usual ones.
@@ -18,17 +21,22 @@
 
 /// Counts open connections and the bytes they hold, and knows which clients can be closed.
 pub struct Budget {
-    sockets: usize,
-    most: usize,
+    sockets: Cell<usize>,
+    most: Cell<usize>,
     open: Cell<usize>,
     clients: Cell<usize>,
-    most_bytes: usize,
+    most_bytes: Cell<usize>,
     bytes: Cell<usize>,
     next: Cell<u64>,
     /// Clients that can be closed, by why and then the longest waiting first, each with its beginning.
     idle: RefCell<BTreeMap<Place, (Time, Rc<Notify>)>>,
 }
 
+/// Descriptors for clients and hosts, of so many.
+fn most_of(sockets: usize) -> usize {
+    sockets.saturating_sub(RESERVE).max(2)
+}
+
 /// Why, and in what order.
 type Place = (Idleness, u64);
 
@@ -36,17 +44,30 @@
     /// A budget for a process that may hold `sockets` descriptors and `memory` bytes.
     pub fn new(sockets: usize, memory: usize) -> Rc<Budget> {
         Rc::new(Budget {
-            sockets,
-            most: sockets.saturating_sub(RESERVE).max(2),
+            sockets: Cell::new(sockets),
+            most: Cell::new(most_of(sockets)),
             open: Cell::new(0),
             clients: Cell::new(0),
-            most_bytes: memory / MESSAGES,
+            most_bytes: Cell::new(memory / MESSAGES),
             bytes: Cell::new(0),
             next: Cell::new(0),
             idle: RefCell::new(BTreeMap::new()),
         })
     }
 
+    /// From now on the process may hold so many descriptors and so much memory. What is open beyond that is closed as
+    /// it can be spared.
+    pub fn limit(&self, sockets: usize, memory: usize) {
+        self.sockets.set(sockets);
+        self.most.set(most_of(sockets));
+        self.most_bytes.set(memory / MESSAGES);
+    }
+
+    /// What is held now: descriptors, also those that are neither a client's nor a host's, and bytes.
+    pub fn held(&self) -> Held {
+        Held { sockets: self.open.get() + OWN, memory: self.bytes.get(), open: 0 }
+    }
+
     /// Counts a connection to a host for as long as the slot lives.
     pub fn take(self: &Rc<Self>) -> Slot {
         self.slot(false)
@@ -65,13 +86,13 @@
 
     /// No further connection fits.
     pub fn spent(&self) -> bool {
-        self.open.get() >= self.most
+        self.open.get() >= self.most.get()
     }
 
     /// How many clients there are beyond a quarter of all. Those that ask hold a third at most: what is left of
     /// it is for the next ones.
     pub fn crowd(&self) -> usize {
-        self.clients.get().saturating_sub(self.sockets / 4)
+        self.clients.get().saturating_sub(self.sockets.get() / 4)
     }
 
     /// Marks a client as one that can be closed for as long as the mark lives, from `now` on.
@@ -93,7 +114,7 @@
 
     /// The bytes of a connection, none so far. Clients leave a quarter of all to what hosts answer.
     pub fn hold(self: &Rc<Self>, client: bool) -> Hold {
-        let most = if client { self.most_bytes / 4 * 3 } else { self.most_bytes };
+        let most = if client { self.most_bytes.get() / 4 * 3 } else { self.most_bytes.get() };
         Hold { budget: self.clone(), bytes: 0, most }
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -7,7 +7,7 @@
 use crate::{Entry, MemberId, Standing, Time};
 use petrelgauge_lifecycle::backoff::{Backoff, Cause};
 use serde::Deserialize;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -77,6 +77,8 @@
     backoff: Backoff,
     /// It has spoken since the start.
     told: Rc<Cell<bool>>,
+    /// The numbers, for the next process.
+    named: Rc<RefCell<BTreeMap<String, MemberId>>>,
 }
 
 /// A host that discovery named.
@@ -87,7 +89,8 @@
 }
 
 impl Follower {
-    /// A follower that starts from the list as it was last known.
+    /// A follower that starts from the list as it was last known. `numbers` are those that another process of this
+    /// gateway has given.
     pub fn new(
         facade: Facade,
         hosts: Rc<Hosts>,
@@ -95,11 +98,15 @@
         clock: Clock,
         known: Option<List>,
         backoff: Backoff,
+        given: Vec<(String, MemberId)>,
     ) -> Follower {
-        let (numbers, next, revision) = (BTreeMap::new(), 0, None);
+        let next = given.iter().map(|(_, id)| id.wrapping_add(1)).max().unwrap_or(0);
+        let gone = Some(clock.now());
+        let numbers = given.into_iter().map(|(name, id)| (name, Known { id, gone })).collect();
+        let (revision, named) = (None, Rc::default());
         let told = Rc::default();
         let mut follower =
-            Follower { facade, hosts, counters, clock, numbers, next, revision, backoff, told };
+            Follower { facade, hosts, counters, clock, numbers, next, revision, backoff, told, named };
         if let Some(list) = known {
             // Whatever it says of itself, it is all that is known: there is no older list to change.
             follower.take(List { complete: true, ..list });
@@ -107,6 +114,11 @@
         follower
     }
 
+    /// The number of each host, as it is now.
+    pub fn numbers(&self) -> Rc<RefCell<BTreeMap<String, MemberId>>> {
+        self.named.clone()
+    }
+
     /// Turns true once discovery has spoken.
     pub fn told(&self) -> Rc<Cell<bool>> {
         self.told.clone()
@@ -259,6 +271,8 @@
         }
         // Hosts are replaced for as long as the gateway runs. One that comes back later is a new one.
         self.numbers.retain(|_, known| known.gone.is_none_or(|gone| now - gone < REMEMBERED));
+        *self.named.borrow_mut() =
+            self.numbers.iter().map(|(name, known)| (name.clone(), known.id)).collect();
         log::debug!("list {}, {} entries, whole: {}", list.revision, entries.len(), list.complete);
         self.facade.list(list.complete, entries);
     }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -19,6 +19,7 @@
 use petrelgauge_lifecycle::client::{Client, Do, Event as Happens, Stage, Used};
 use petrelgauge_lifecycle::gateway::Door;
 use petrelgauge_sessions::Wallet;
+use socket2::SockRef;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -227,18 +228,42 @@
         tokio::select! {
             biased;
             heard = self.inbox.hear(life.stage()) => heard,
-            () = shed.notified() => Happens::Shed { unread: false }.into(),
+            () = shed.notified() => {
+                let unread = self.unread(life.stage()).await;
+                if unread {
+                    // It was asked to make room, and still is once that is answered.
+                    shed.notify_one();
+                }
+                Happens::Shed { unread }.into()
+            }
             _ = closed => {
-                let unread = !self.inbox.framer.is_empty() && clock.now() < since + LAST_MESSAGE;
-                self.close_from = clock.now() + LOOK;
-                Happens::Stop { unread }.into()
+                let begun = !self.inbox.framer.is_empty() && clock.now() < since + LAST_MESSAGE;
+                let unread = self.unread(life.stage()).await;
+                self.close_from = if begun { clock.now() + LOOK } else { self.close_from };
+                Happens::Stop { unread: unread || begun }.into()
             }
             () = clock.sleep_until(life.due()) => {
-                Happens::Due { unread: false, begun: !self.inbox.framer.is_empty() }.into()
+                let unread = self.unread(life.stage()).await;
+                Happens::Due { unread, begun: !self.inbox.framer.is_empty() }.into()
             }
         }
     }
 
+    /// Whether something lies there that has not been taken up: a query that was read is lost if its connection ends,
+    /// and one that was not has to be sent again. The kernel is asked itself, for the reactor has not yet heard of what
+    /// came a moment ago. After it the reactor knows.
+    async fn unread(&mut self, stage: Stage) -> bool {
+        if self.inbox.holds(stage) {
+            return true;
+        }
+        let mut first = [std::mem::MaybeUninit::uninit()];
+        let unread = matches!(SockRef::from(self.writer.as_ref()).peek(&mut first), Ok(1..));
+        if unread {
+            tokio::task::yield_now().await;
+        }
+        unread
+    }
+
     /// The connection is to end so, since what came on it made no sense.
     fn flawed(&self, end: End) -> bool {
         self.inbox.flaw.is_some_and(|(flaw, _)| flaw.end == end)
--- a/src/net/inbox.rs
+++ b/src/net/inbox.rs
@@ -130,6 +130,16 @@
         }
     }
 
+    /// Something that can be taken up lies here: a whole message, or a reason to cut the client off. What was read in a
+    /// wait that was cancelled is here and nowhere else.
+    pub(super) fn holds(&mut self, stage: Stage) -> bool {
+        if stage == Stage::Opening {
+            return self.flaw.is_some() || self.framer.holds_opening();
+        }
+        self.sort();
+        self.flaw.is_some() || !self.ready.is_empty()
+    }
+
     /// The next message. May be cancelled without loss.
     async fn next(&mut self) -> Result<Result<(Message, Time), Flaw>, End> {
         self.taken = 0;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 pub use petrelgauge_lifecycle::ending;
 pub mod flow;
 pub mod front;
+pub mod handover;
 pub mod hosts;
 mod inbox;
 pub mod inherited;
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -101,6 +101,11 @@
         self.buffer.first().copied()
     }
 
+    /// The opening message is there whole.
+    pub fn holds_opening(&self) -> bool {
+        self.length_at(0).is_some_and(|length| self.buffer.len() >= length)
+    }
+
     /// Takes the opening message, if it is there whole.
     pub fn opening(&mut self) -> Result<Option<Opening>, Malformed> {
         let Some(length) = self.length_at(0) else { return Ok(None) };
--- /dev/null
+++ b/tests/handover.rs
@@ -0,0 +1,183 @@
+//! Replacing the process: two and three processes of one gateway before the same hosts and the same listening socket,
+//! with a stop, a stall or a crash of either at each step.
+
+mod stage;
+use stage::*;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+fn shared(number: u8, answers: usize) -> (Stage, Host) {
+    let stage = Stage::new(number).shared();
+    let host = stage.host((0..answers).map(|_| Say::Row(b"v")).collect());
+    let line = list(42, true, &stage.entries(&[(&host, "up", "primary")]));
+    let stage = stage.news(&[&line]);
+    stage.discover();
+    (stage, host)
+}
+
+/// Clients that ask without a pause until they are told to stop; gives how many answers there were.
+struct Load {
+    over: Arc<AtomicBool>,
+    answers: Arc<AtomicUsize>,
+    clients: Vec<thread::JoinHandle<()>>,
+}
+
+impl Load {
+    fn start(gateway: &Gateway, clients: usize) -> Load {
+        let (over, answers) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        let ask = |number: usize| {
+            let (over, answers, mut client) = (over.clone(), answers.clone(), gateway.client());
+            thread::spawn(move || {
+                for turn in 0.. {
+                    if over.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let text = select("a", "view", 20000).replace("9b1f", &format!("{number}x{turn}"));
+                    assert_eq!(kinds(&client.ask(&text)), "TDCZ");
+                    answers.fetch_add(1, Ordering::Relaxed);
+                }
+            })
+        };
+        let clients = (0..clients).map(ask).collect();
+        Load { over, answers, clients }
+    }
+
+    /// Waits until there were some more answers.
+    fn goes_on(&self) {
+        let before = self.answers.load(Ordering::Relaxed);
+        while self.answers.load(Ordering::Relaxed) < before + 40 {
+            thread::sleep(Duration::from_millis(5));
+            assert!(!self.clients.iter().any(thread::JoinHandle::is_finished), "a client was not served");
+        }
+    }
+
+    fn end(self) {
+        self.over.store(true, Ordering::Relaxed);
+        self.clients.into_iter().for_each(|client| client.join().expect("every request was served"));
+    }
+}
+
+#[test]
+fn a_process_takes_over_under_load_and_no_request_is_lost() {
+    let (mut stage, _host) = shared(70, 200_000);
+    let mut old = stage.beside();
+    old.call_until(b"ready\n", "YES");
+    let load = Load::start(&old, 4);
+    load.goes_on();
+    // Its letter tells what it has learned by now.
+    thread::sleep(Duration::from_millis(600));
+    let new = stage.beside();
+    new.call_until(b"ready\n", "YES");
+    old.line_with("1 other processes of this gateway run");
+    old.signal("TERM");
+    assert_eq!(old.ended().0, Some(0));
+    load.goes_on();
+    load.end();
+    new.wait_for("requests=", |count| count > 0);
+    let left = std::fs::read_dir(stage.folder()).expect("a folder").count();
+    assert_eq!(left, 1, "the old one took its letter away");
+}
+
+#[test]
+fn one_that_starts_beside_another_starts_from_what_that_one_learned() {
+    let (mut stage, _host) = shared(71, 200_000);
+    let old = stage.beside();
+    old.call_until(b"ready\n", "YES");
+    let load = Load::start(&old, 2);
+    load.goes_on();
+    thread::sleep(Duration::from_millis(600));
+    let free = std::net::TcpListener::bind("127.77.71.3:0").expect("a free port");
+    let ops = free.local_addr().expect("an address").to_string();
+    drop(free);
+    let mut new = stage.start_env(&stage.config(), &[("GW_OPS", &ops)]);
+    assert!(new.line_with("starting from what was learned").contains("of 1 hosts"));
+    new.line_with("serves at");
+    new.signal("TERM");
+    assert_eq!(new.ended().0, Some(0));
+    load.goes_on();
+    load.end();
+}
+
+#[test]
+fn a_new_process_that_dies_before_its_yes_changes_nothing() {
+    let (mut stage, _host) = shared(72, 200_000);
+    let old = stage.beside();
+    old.call_until(b"ready\n", "YES");
+    let load = Load::start(&old, 3);
+    for _ in 0..3 {
+        let new = stage.beside();
+        new.signal("KILL");
+        load.goes_on();
+    }
+    load.end();
+    assert!(old.call(b"ready\n").starts_with("YES"));
+    assert_eq!(kinds(&old.client().ask(&select("a", "view", 20000))), "TDCZ");
+}
+
+#[test]
+fn an_old_process_that_stands_still_keeps_nobody_from_the_new_one() {
+    let (mut stage, _host) = shared(73, 1000);
+    let mut old = stage.beside();
+    old.call_until(b"ready\n", "YES");
+    old.signal("STOP");
+    let new = stage.beside();
+    new.call_until(b"ready\n", "YES");
+    for _ in 0..8 {
+        assert_eq!(kinds(&new.client().ask(&select("a", "view", 20000))), "TDCZ");
+    }
+    // It wakes to find itself replaced, and goes.
+    old.signal("TERM");
+    old.signal("CONT");
+    assert_eq!(old.ended().0, Some(0));
+    assert_eq!(kinds(&new.client().ask(&select("a", "view", 20000))), "TDCZ");
+}
+
+#[test]
+fn an_old_process_that_is_killed_while_it_drains_leaves_the_new_one_alone() {
+    let (mut stage, host) = shared(74, 0);
+    drop(host);
+    let host = stage.host(vec![Say::Nothing, Say::Row(b"v"), Say::Row(b"v")]);
+    let line = list(43, true, &stage.entries(&[(&host, "up", "primary")]));
+    stage = stage.news(&[&line]);
+    stage.discover();
+    let old = stage.beside();
+    old.call_until(b"ready\n", "YES");
+    let new = stage.beside();
+    new.call_until(b"ready\n", "YES");
+    old.signal("TERM");
+    old.signal("KILL");
+    new.line_with("0 other processes of this gateway run");
+    assert!(new.call(b"ready\n").starts_with("YES"));
+}
+
+#[test]
+fn a_torn_letter_is_left_aside_with_a_line_and_a_third_process_is_one_more() {
+    let (mut stage, _host) = shared(75, 1000);
+    for (name, bytes) in [("1", &b"petrel\x01torn"[..]), ("2", b""), ("3", &[7; 5000])] {
+        std::fs::write(format!("{}/petrelgauge-{name}.letter", stage.folder()), bytes).expect("written");
+    }
+    let free = stage.start_with(&stage.config());
+    assert!(free.line_with("a letter is left aside").contains("it is not whole"));
+    free.line_with("serves at");
+    let processes = [stage.beside(), stage.beside()];
+    free.line_with("2 other processes of this gateway run");
+    for gateway in &processes {
+        gateway.call_until(b"ready\n", "YES");
+    }
+    assert_eq!(kinds(&free.client().ask(&select("a", "view", 20000))), "TDCZ");
+}
+
+#[test]
+fn a_descriptor_that_is_no_socket_is_named() {
+    let stage = Stage::new(76);
+    let config = stage.config();
+    for (text, cause) in
+        [("three", "is not the number of a descriptor"), ("1", "is not the number"), ("999", "GW_ACCEPT_FD")]
+    {
+        let (code, log) = stage.start_env(&config, &[("GW_ACCEPT_FD", text)]).ended();
+        assert_eq!(code, Some(2));
+        assert!(log.starts_with("petrelgauge: GW_ACCEPT_FD") && log.contains(cause), "{log}");
+    }
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -232,6 +232,7 @@
     sockets: usize,
     operator: Option<String>,
     ops: Option<String>,
+    shared: Option<(TcpListener, String)>,
 }
 
 impl Stage {
@@ -253,6 +254,7 @@
             sockets: 1024,
             operator: None,
             ops: None,
+            shared: None,
         }
     }
 
@@ -301,6 +303,44 @@
         self
     }
 
+    /// The clients' socket is held by the platform, and the gateway's processes share a folder.
+    pub fn shared(mut self) -> Stage {
+        let folder = format!("{}/{}", env!("CARGO_TARGET_TMPDIR"), self.listen);
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).expect("a place to write");
+        self.shared = Some((TcpListener::bind(&self.listen).expect("it was free"), folder));
+        self
+    }
+
+    /// The folder that its processes share.
+    pub fn folder(&self) -> &str {
+        &self.shared.as_ref().expect("it is shared").1
+    }
+
+    /// Starts a process of the program beside another, with a second address of its own, and waits until it runs.
+    pub fn beside(&mut self) -> Gateway {
+        let free = TcpListener::bind((self.ip.as_str(), 0)).expect("a free port");
+        self.ops = Some(free.local_addr().expect("an address").to_string());
+        drop(free);
+        let gateway = self.start_with(&self.config());
+        gateway.line_with("serves at");
+        gateway
+    }
+
+    /// Serves discovery with the news of this stage; each watch gets them.
+    pub fn discover(&self) {
+        let (listener, news) = (self.discovery.try_clone().expect("a second handle"), self.news.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let news = news.clone();
+                thread::spawn(move || {
+                    let ((saw, _watches), (_end, ends)) = (channel(), channel());
+                    watch(stream.expect("a watch"), [news, Vec::new()], &saw, &ends);
+                });
+            }
+        });
+    }
+
     /// The gateway listens to its staff too.
     pub fn ops(mut self) -> Stage {
         let free = TcpListener::bind((self.ip.as_str(), 0)).expect("a free port");
@@ -328,9 +368,25 @@
 
     /// Starts the program with this configuration; it need not come up.
     pub fn start_with(&self, config: &str) -> Gateway {
+        self.start_env(config, &[])
+    }
+
+    /// The same with more in its environment.
+    pub fn start_env(&self, config: &str, more: &[(&str, &str)]) -> Gateway {
         let path = config_path(&self.listen);
         std::fs::write(&path, config).expect("a place to write");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_petrelgauge"));
+        let program = env!("CARGO_BIN_EXE_petrelgauge");
+        let mut command = match &self.shared {
+            None => Command::new(program),
+            Some((listener, folder)) => {
+                // The shell hands the socket on as descriptor 3, and becomes the program.
+                let mut command = Command::new("sh");
+                command.args(["-c", "exec 3<&0 0</dev/null; exec \"$0\"", program]);
+                command.stdin(std::os::fd::OwnedFd::from(listener.try_clone().expect("a second handle")));
+                command.env("GW_ACCEPT_FD", "3").env("TMPDIR", folder);
+                command
+            }
+        };
         command.env_remove("PETRELGAUGE_FILE");
         if let Some(text) = &self.operator {
             let file = format!("{path}.cue");
@@ -341,6 +397,7 @@
             .env("GW_CONFIG", path)
             .env("GW_DISCOVERY", self.discovery_address())
             .env_remove("RUST_LOG")
+            .envs(more.iter().copied())
             .stderr(Stdio::piped())
             .spawn()
             .expect("the gateway starts");
@@ -483,6 +540,11 @@
         self.signal("HUP");
     }
 
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let sent = Command::new("kill").args([&format!("-{name}"), &id]).status().expect("kill is there");
@@ -490,7 +552,7 @@
     }
 
     /// Waits for a line of the log that holds this text.
-    fn line_with(&self, text: &str) -> String {
+    pub fn line_with(&self, text: &str) -> String {
         let (mut log, mut last) = (self.log.borrow_mut(), String::new());
         loop {
             let mut line = String::new();
@@ -562,13 +624,13 @@
 }
 
 /// A client's connection.
-pub struct Client(TcpStream);
+pub struct Client(TcpStream, SocketAddr);
 
 impl Client {
     fn connected(address: SocketAddr) -> Client {
         let stream = TcpStream::connect(address).expect("it accepts");
         stream.set_read_timeout(Some(NEVER)).expect("a limit");
-        Client(stream)
+        Client(stream, address)
     }
 
     fn admitted(address: SocketAddr) -> Client {
@@ -613,7 +675,7 @@
         let written = self.0.write_all(&query(text));
         let mut first = [0];
         if written.is_err() || !matches!(self.0.peek(&mut first), Ok(1)) {
-            *self = Client::admitted(self.0.peer_addr().expect("an address"));
+            *self = Client::admitted(self.1);
             self.write(&query(text));
         }
         self.until_ready()
