Tell the scout who leads, and show take-overs between processes under cut links

Need: the scout knew only what its own requests showed; with little traffic it has nothing to tell.

Change: whoever has an answer of a primary tells the scout (Message::Found), which tells all; scouting by the others is rarer by half the number of gateways, 64 times at most.

--- a/crates/lab/src/cost.rs
+++ b/crates/lab/src/cost.rs
@@ -74,6 +74,7 @@
         shift_ms: 0,
         hosts_ahead_ms: 0,
         program: program?,
+        witness: false,
     };
     let stage = Stage::start(plan).await?;
     // Warm: connections are up, and the first samples are there.
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -20,6 +20,7 @@
         shift_ms: 0,
         hosts_ahead_ms: 0,
         program,
+        witness: false,
     })
 }
 
--- a/crates/lab/src/gateways.rs
+++ b/crates/lab/src/gateways.rs
@@ -92,12 +92,17 @@
         }
     }
 
-    /// Ends it in order; its counters are in its log then.
-    pub fn stop(&mut self) {
+    /// Sends it a signal: STOP and CONT make it stand still for a while.
+    pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(format!("-{}", "TERM")).arg(child.id().to_string()).status();
+            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
         }
     }
+
+    /// Ends it in order; its counters are in its log then.
+    pub fn stop(&mut self) {
+        self.signal("TERM");
+    }
 }
 
 impl Drop for Gateway {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,7 +9,7 @@
 //! | `gateways.rs`, `stage.rs` | gateway processes, and all of it together |
 //! | `client.rs`, `ledger.rs` | clients, and what each session is owed |
 //! | `figures.rs`, `report.rs` | what is measured and how it is told |
-//! | `cost.rs`, `sessions.rs`, `large.rs`, `demo.rs` | the experiments |
+//! | `cost.rs`, `ownership.rs`, `sessions.rs`, `large.rs`, `demo.rs` | the experiments |
 //!
 //! An experiment is trusted once it has caught a planted fault: each names its own.
 
@@ -22,6 +22,7 @@
 pub mod hosts;
 pub mod large;
 pub mod ledger;
+pub mod ownership;
 pub mod register;
 pub mod relay;
 pub mod report;
@@ -57,13 +58,19 @@
 }
 
 /// All experiments.
-pub const EXPERIMENTS: [Experiment; 3] = [
+pub const EXPERIMENTS: [Experiment; 4] = [
     Experiment {
         name: "cost",
         shows: "processor time per 10,000 requests, in turns with the build that --baseline names",
         plants: &cost::PLANTS,
         run: cost::run,
     },
+    Experiment {
+        name: "ownership",
+        shows: "seven gateways, one scout: killed, stalled, cut off; no two owners, terms rise, a successor in time",
+        plants: &ownership::PLANTS,
+        run: ownership::run,
+    },
     Experiment {
         name: "sessions",
         shows:
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -2,7 +2,8 @@
 
 use crate::hosts::Farm;
 use rand::Rng;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -12,6 +13,8 @@
     farm: Rc<Farm>,
     /// Share lost.
     pub loss: Cell<f64>,
+    /// Links that carry nothing, from one instance to another.
+    pub cut: RefCell<BTreeSet<(usize, usize)>>,
     /// Datagrams and bytes delivered.
     pub delivered: [Cell<u64>; 2],
 }
@@ -19,11 +22,16 @@
 impl Paths {
     /// Paths over this farm's clock and chance.
     pub fn new(farm: Rc<Farm>, loss: f64) -> Rc<Paths> {
-        Rc::new(Paths { farm, loss: Cell::new(loss), delivered: [Cell::new(0), Cell::new(0)] })
+        Rc::new(Paths {
+            farm,
+            loss: Cell::new(loss),
+            cut: RefCell::default(),
+            delivered: [Cell::new(0), Cell::new(0)],
+        })
     }
 
-    /// Opens a path to an instance: what comes to the address it gives goes on there.
-    pub async fn open(self: &Rc<Self>, to: SocketAddr) -> std::io::Result<SocketAddr> {
+    /// Opens a path from one instance to another: what comes to the address it gives goes on there.
+    pub async fn open(self: &Rc<Self>, link: (usize, usize), to: SocketAddr) -> std::io::Result<SocketAddr> {
         let socket = Rc::new(UdpSocket::bind("127.0.0.1:0").await?);
         let address = socket.local_addr()?;
         let paths = self.clone();
@@ -32,6 +40,9 @@
             loop {
                 // An instance that is down is no reason to end.
                 let Ok(count) = socket.recv(&mut bytes).await else { continue };
+                if paths.cut.borrow().contains(&link) {
+                    continue;
+                }
                 paths.clone().pass(socket.clone(), to, bytes[..count].to_vec());
             }
         });
--- a/crates/lab/src/sessions.rs
+++ b/crates/lab/src/sessions.rs
@@ -198,6 +198,7 @@
         shift_ms: differ,
         hosts_ahead_ms,
         program,
+        witness: false,
     };
     let spans = if options.short { SHORT } else { FULL };
     let stage = Stage::start(plan).await?;
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -36,6 +36,8 @@
     pub hosts_ahead_ms: u64,
     /// The gateway's program.
     pub program: PathBuf,
+    /// One more address among the peers, at which the laboratory itself reads what they tell each other.
+    pub witness: bool,
 }
 
 /// All that was started. It ends with this value.
@@ -54,6 +56,8 @@
     pub addresses: Vec<SocketAddr>,
     /// The plan.
     pub plan: Plan,
+    /// Where the laboratory reads what the gateways tell each other.
+    pub witness: Option<UdpSocket>,
     _folder: Folder,
 }
 
@@ -84,11 +88,19 @@
         for _ in 0..plan.gateways {
             hear.push(UdpSocket::bind("127.0.0.1:0").await?.local_addr()?);
         }
+        let witness = if plan.witness { Some(UdpSocket::bind("127.0.0.1:0").await?) } else { None };
+        if let Some(socket) = &witness {
+            hear.push(socket.local_addr()?);
+        }
         let mut gateways = Vec::new();
         for number in 0..plan.gateways {
             let mut others = Vec::new();
             for (other, address) in hear.iter().enumerate() {
-                others.push(if other == number { *address } else { paths.open(*address).await? });
+                others.push(if other == number {
+                    *address
+                } else {
+                    paths.open((number, other), *address).await?
+                });
             }
             let others: Vec<String> = others.iter().map(|address| format!("\"{address}\"")).collect();
             let peers = format!(r#""peer_listen":"{}","peers":[{}],"#, hear[number], others.join(","));
@@ -114,7 +126,17 @@
         }
         let addresses = gateways.iter().map(|gateway| gateway.listen).collect();
         let gateways = RefCell::new(gateways);
-        Ok(Rc::new(Stage { farm, register, paths, gateways, tier, addresses, plan, _folder: folder }))
+        Ok(Rc::new(Stage {
+            farm,
+            register,
+            paths,
+            gateways,
+            tier,
+            addresses,
+            plan,
+            witness,
+            _folder: folder,
+        }))
     }
 
     /// Kills a gateway, waits, and starts it again with what the register shows now.
--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -235,6 +235,11 @@
         let _ = self.router.follow(whole(&self.settings, &self.rules));
     }
 
+    /// The group of a member that the list names.
+    pub fn group(&self, member: MemberId) -> Option<GroupId> {
+        self.router.group_of(member)
+    }
+
     /// Members taken for primaries, and since when by their own word.
     pub fn leaders(&self) -> Vec<(GroupId, MemberId, Time)> {
         self.router.leaders()
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -108,6 +108,14 @@
     Answer(Duty, Answer),
     /// An owner to all.
     Word(Duty, Term, Word),
+    /// A gateway to a scout: this member answered it as its group's primary. It is evidence and no effect of a duty; the
+    /// scout tells it on under its own term.
+    Found {
+        /// The member, by the hash of its name on the list.
+        member: u64,
+        /// When it answered.
+        position: Time,
+    },
     /// A receiver to an owner whose word was turned away: a higher term is about.
     Turned(Duty, Term),
 }
--- a/crates/ownership/src/office.rs
+++ b/crates/ownership/src/office.rs
@@ -146,6 +146,8 @@
                     }
                 }
             }
+            // What it says is for whoever sees to the duty.
+            Message::Found { .. } => {}
             Message::Turned(duty, term) => {
                 if let Some(one) = self.candidates.get_mut(&duty) {
                     one.outbid(term);
--- a/crates/policy/src/beliefs.rs
+++ b/crates/policy/src/beliefs.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// The group of a member.
+    pub fn group_of(&self, member: MemberId) -> Option<GroupId> {
+        self.members.get(&member).map(|member| member.group)
+    }
+
     /// Members taken for the primaries of their groups, with when they last gave evidence of it by themselves.
     pub fn leaders(&self) -> Vec<(GroupId, MemberId, Time)> {
         let leads = |group: &GroupId| {
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -48,6 +48,10 @@
     hung: Vec<(Time, MemberId, Job)>,
     served: usize,
     asked: usize,
+    /// Writes that were turned away by a member that is no primary.
+    misses: usize,
+    /// The member that the fleet was told of last, where one router tells all.
+    told: Option<Option<MemberId>>,
 }
 
 impl Fleet {
@@ -88,6 +92,8 @@
             hung: Vec::new(),
             served: 0,
             asked: 0,
+            misses: 0,
+            told: None,
         }
     }
 
@@ -108,6 +114,13 @@
         let role = if self.members[&member].primary { Role::Primary } else { Role::Replica };
         let spoke = matches!(ending, Ending::Served | Ending::Full | Ending::TurnedAway);
         self.served += (ending == Ending::Served) as usize;
+        self.misses += (ending == Ending::TurnedAway) as usize;
+        let write = self.writes.contains(&job.request);
+        if write && ending == Ending::Served && self.told.is_some_and(|told| told != Some(member)) {
+            self.told = Some(Some(member));
+            let word = Event::Hearsay { member, at: self.now };
+            self.inbox.iter_mut().for_each(|inbox| inbox.push(word.clone()));
+        }
         self.inbox[job.router].push(Event::Outcome {
             request: job.request.clone(),
             attempt: job.attempt,
@@ -410,3 +423,43 @@
         assert!(fleet.members[&(id + 10)].sent > 0, "member {} takes its place", id + 10);
     }
 }
+
+/// A group loses its primary for 3 s and then has another; 50 writes a second come, each to the next router. Misses for
+/// each write, and the share of the writes served in the end.
+fn misses_for_a_lost_primary(routers: usize, scout: bool) -> (f64, f64) {
+    let entries: Vec<Entry> = (1..=6).map(|id| entry(id, Standing::Up, id == 1, 0)).collect();
+    let mut fleet = Fleet::new(routers, &entries, (1..=6).map(|id| (id, false, 5, 30 * MS)).collect());
+    if scout {
+        fleet.told = Some(None);
+        let mut set = Settings { routers: routers as u32, may_probe: false, ..settings() };
+        set.classes.iter_mut().for_each(|class| class.attempts = 8);
+        set.classes[5].deadline = 3_000 * MS;
+        set.classes[5].effect = Effect::Keyed { window: 5_000 * MS, scope: Scope::Group };
+        set.scout_every = (routers as Time / 2).clamp(1, 64);
+        // The first one scouts, and goes on as ever.
+        let others = fleet.routers.iter_mut().skip(1);
+        others.for_each(|router| router.follow(set.clone()).expect("sound settings"));
+    }
+    for tick in 0..1_200 {
+        if tick == 600 {
+            fleet.members.get_mut(&2).expect("it is there").primary = true;
+        }
+        if tick % 4 == 0 && tick < 900 {
+            fleet.ask(tick / 4 % routers, 5, 3_000 * MS);
+        }
+        fleet.step();
+    }
+    (fleet.misses as f64 / fleet.asked as f64, fleet.served as f64 / fleet.asked as f64)
+}
+
+// 150 writes at 300 routers made 1035 misses, 6.9 each: every attempt but one was spent on members that were no primary.
+#[test]
+fn a_scouts_word_spares_a_large_fleet_most_misses_and_costs_no_service() {
+    for routers in [5, 50, 300] {
+        let (alone, served_alone) = misses_for_a_lost_primary(routers, false);
+        let (told, served_told) = misses_for_a_lost_primary(routers, true);
+        println!("{routers}: {alone:.2} misses a write and {served_alone:.3} served, told {told:.2}, {served_told:.3}");
+        assert!(served_told >= served_alone - 0.02, "{routers}: {served_told:.3} of {served_alone:.3}");
+        assert!(told < alone * if routers < 50 { 1.0 } else { 0.5 }, "{routers}: {told:.2} of {alone:.2}");
+    }
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -78,6 +78,11 @@
         self.0.desk.borrow_mut().scout_every(times);
     }
 
+    /// The group of a member that the list names.
+    pub fn group(&self, member: MemberId) -> Option<GroupId> {
+        self.0.desk.borrow().group(member)
+    }
+
     /// Members taken for primaries, and when they last said so.
     pub fn leaders(&self) -> Vec<(GroupId, MemberId, Time)> {
         self.0.desk.borrow().leaders()
--- a/src/net/duties.rs
+++ b/src/net/duties.rs
@@ -1,8 +1,9 @@
 //! This gateway's part in the fleet's duties, carried by datagrams. Who owns what, and whether a word is taken, stands in
 //! `petrelgauge_ownership`; what follows from a word the decisions see to.
 //!
-//! The one duty so far: the **scout** tells all others which member answered as its group's primary. While somebody
-//! else is known to scout, this gateway tries members of a group without a primary more rarely.
+//! The one duty so far: the **scout** tells all others which member answered as its group's primary; whoever has such an
+//! answer tells the scout. While one is known, all others try members of a group without a primary more rarely, the more
+//! gateways there are: together they try about as often as one alone would.
 
 use crate::facade::Facade;
 use crate::net::clock::Clock;
@@ -16,8 +17,9 @@
 
 /// The scout's duty.
 pub const SCOUT: Duty = Duty { kind: 1, group: 0 };
-/// While another scouts, attempts of this gateway's own are so many times as rare.
-const RARELY: Time = 8;
+/// While another scouts, attempts of this gateway's own are half as many times as rare as there are gateways, and so many at
+/// most: with none of the others' words arriving, a write still finds its primary within seconds.
+const RAREST: Time = 64;
 /// A leader that was told is told again after this span (microseconds): datagrams get lost, gateways start.
 const AGAIN: Time = 1_000_000;
 /// Between two looks at who leads (microseconds).
@@ -139,10 +141,14 @@
 
     fn take(&self, from: Gateway, message: Message) -> Vec<(Gateway, Message)> {
         let now = self.clock.now();
-        if let Message::Word(duty, term, Word::Primary { member, position }) = message {
-            if duty == SCOUT && self.office.borrow().takes(duty, term) {
-                self.primary(now, member, position);
+        match message {
+            Message::Word(SCOUT, term, Word::Primary { member, position })
+                if self.office.borrow().takes(SCOUT, term) =>
+            {
+                self.primary(now, member, position)
             }
+            Message::Found { member, position } => self.primary(now, member, position),
+            _ => {}
         }
         self.office.borrow_mut().hear(now, from, message)
     }
@@ -153,6 +159,10 @@
         let known = numbers.iter().find(|(name, _)| xxh3_64(name.as_bytes()) == member);
         if let Some((_, id)) = known {
             self.counters.words.add();
+            // It need not be told back.
+            if let Some(group) = self.facade.group(*id) {
+                self.told.borrow_mut().insert(group, (*id, now));
+            }
             self.facade.hearsay(now, *id, position);
         }
     }
@@ -180,32 +190,41 @@
             return;
         }
         let other = owner.is_some_and(|(who, _)| who != office.settings().me);
-        self.facade.scout_every(if other { RARELY } else { 1 });
+        let gateways = Time::from(office.settings().gateways);
+        self.facade.scout_every(if other { (gateways / 2).clamp(1, RAREST) } else { 1 });
         match owner {
             Some((who, term)) => log::info!("gateway {who} scouts under term {term}"),
             None => log::info!("nobody is known to scout; each tries members by itself"),
         }
     }
 
-    /// Words of the scout on who leads: news, and what was told a while ago.
+    /// What there is to say of who leads: the scout to all, what is new and what was told a while ago; another to the
+    /// scout, what is new.
     fn tell(&self, now: Time) -> Vec<Parcel> {
         let (mut office, mut told) = (self.office.borrow_mut(), self.told.borrow_mut());
-        if office.may(now, SCOUT).is_none() {
+        let (me, gateways) = (office.settings().me, office.settings().gateways);
+        let Some((scout, _)) = office.owner(now, SCOUT) else {
             told.clear();
             return Vec::new();
-        }
-        let (me, gateways) = (office.settings().me, office.settings().gateways);
+        };
         let (numbers, mut parcels) = (self.numbers.borrow(), Vec::new());
         for (group, member, position) in self.facade.leaders().into_iter().take(MOST_TOLD) {
-            let known = told.get(&group).is_some_and(|(last, at)| *last == member && now - at < AGAIN);
+            let last = told.get(&group).copied();
+            let known = last.is_some_and(|(last, at)| last == member && (scout != me || now - at < AGAIN));
             let name = numbers.iter().find(|(_, id)| **id == member).map(|(name, _)| name);
             let (false, Some(name)) = (known, name) else { continue };
-            let word = Word::Primary { member: xxh3_64(name.as_bytes()), position };
-            // Asked right before it goes out, for each of them.
-            let Some(message) = office.word(self.clock.now(), SCOUT, word) else { break };
+            let member_hash = xxh3_64(name.as_bytes());
+            if scout == me {
+                let word = Word::Primary { member: member_hash, position };
+                // Asked right before it goes out, for each of them.
+                let Some(message) = office.word(self.clock.now(), SCOUT, word) else { break };
+                let bytes = message.write(me, self.fleet, self.secret);
+                parcels.extend((0..gateways).filter(|to| *to != me).map(|to| (to, bytes.clone())));
+            } else {
+                let found = Message::Found { member: member_hash, position };
+                parcels.push((scout, found.write(me, self.fleet, self.secret)));
+            }
             told.insert(group, (member, now));
-            let bytes = message.write(me, self.fleet, self.secret);
-            parcels.extend((0..gateways).filter(|to| *to != me).map(|to| (to, bytes.clone())));
         }
         parcels
     }
