--- a/crates/handover/src/company.rs
+++ b/crates/handover/src/company.rs
@@ -3,8 +3,7 @@
 //! Each process writes a letter every [`PACE`], with what it holds. One whose last letter is older than [`FRESH`] does
 //! not run, or stands still so long that it holds up nobody. What the others hold is not left for this one. So a process
 //! that has just started gets what is free, a process that is being replaced leaves more with every letter, and neither
-//! is asked to give up what its clients use. Halves were tried first: they closed clients of both while half of the
-//! limits lay idle.
+//! is asked to give up what its clients use.
 
 use petrelgauge_policy::Time;
 use serde::{Deserialize, Serialize};
