Share out limits: lend parts with little work, give them on, never above the even ones

Change: crates/ownership/src/shares (Part, Pool, Rates), heart without I/O; Event::Share in the module, where a group's part is the even one unless it is told of another, and after the time that the share names; src/net/share_out.rs carries it. Off by default: record ownership, field duties. The harness of hundreds of routers moved to tests/common/fleet.rs.

Ruled out by design: a budget that the owner divides anew (whoever hears nothing would have less than today), and each by its own view of rates (the sum rises while views differ); see docs/design/ownership.md.

Five processes, the owner killed and stalled: at most 2500 thousandths in force, as lent.

--- a/crates/lab/src/ownership.rs
+++ b/crates/lab/src/ownership.rs
@@ -157,7 +157,7 @@
         if first.is_none() {
             break;
         }
-        let (begun, old) = (stage.farm.clock.now(), play.ledger.last);
+        let (begun, old) = (stage.farm.clock.now(), play.ledger.last.clone());
         match (turn + options.seed) % 4 {
             0 => stage.gateways.borrow_mut()[who as usize].kill(),
             1 => stage.gateways.borrow()[who as usize].signal("STOP"),
--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -135,6 +135,8 @@
     unsure: Vec<Key>,
     /// Highest position that each listed member told.
     told: BTreeMap<MemberId, Time>,
+    /// Requests that came for each listed group so far.
+    asked: BTreeMap<GroupId, u64>,
 }
 
 /// Why new settings were not taken.
@@ -208,6 +210,7 @@
             keeper,
             unsure: Vec::new(),
             told: BTreeMap::new(),
+            asked: BTreeMap::new(),
         })
     }
 
@@ -235,6 +238,18 @@
         let _ = self.router.follow(whole(&self.settings, &self.rules));
     }
 
+    /// What this router may use of the limits of a group's members.
+    pub fn share(&mut self, group: GroupId, share: Share) {
+        if self.groups.contains(&group) {
+            self.queue.push(Event::Share(group, share));
+        }
+    }
+
+    /// Requests that came for each group that the list names.
+    pub fn asked(&self) -> BTreeMap<GroupId, u64> {
+        self.groups.iter().map(|group| (*group, self.asked.get(group).copied().unwrap_or(0))).collect()
+    }
+
     /// The group of a member that the list names.
     pub fn group(&self, member: MemberId) -> Option<GroupId> {
         self.router.group_of(member)
@@ -372,6 +387,9 @@
     pub fn admit(&mut self, request: Request) -> RequestId {
         let id: RequestId = self.next.to_string().into();
         self.next += 1;
+        if self.groups.contains(&request.group) {
+            *self.asked.entry(request.group).or_default() += 1;
+        }
         self.look(request.at);
         let write = self.rules.class(request.class).need == Need::Write;
         let watch = match (&mut self.keeper, request.session) {
@@ -414,6 +432,7 @@
             };
         }
         self.told.retain(|id, _| self.listed.contains(id));
+        self.asked.retain(|group, _| self.groups.contains(group));
         self.queue.push(Event::List { whole, entries: entries.into() });
     }
 
--- a/crates/models/src/lib.rs
+++ b/crates/models/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `marks.rs` | sessions' marks between two instances: model `marks` |
 //! | `rules.rs` | settings that change under open requests: model `rules` |
 //! | `ownership.rs` | electors, candidates and a fence: model `ownership` |
+//! | `shares.rs` | parts of limits lent and given: model `shares` |
 //! | `coverage.rs` | the transitions that the models take, against those that there are |
 //! | `check.rs` | the checker, its report, and how a run is told and replayed |
 //!
@@ -25,6 +26,7 @@
 pub mod marks;
 pub mod ownership;
 pub mod rules;
+pub mod shares;
 pub mod stop;
 
 use check::Report;
@@ -50,7 +52,7 @@
 }
 
 /// All models.
-pub const MODELS: [Named; 8] = [
+pub const MODELS: [Named; 9] = [
     Named {
         name: "attempt",
         plays: "one payment, two members, three attempts, one drain; time-out against late answer",
@@ -86,6 +88,11 @@
         plays: "three electors, two candidates; messages lost, late and doubled, one restart, an owner that stands still",
         run: ownership::run,
     },
+    Named {
+        name: "shares",
+        plays: "two owners of the share-out, a lender to both, two that ask; answers and grants lost or late, one restart",
+        run: shares::run,
+    },
     Named {
         name: "marks",
         plays: "two instances, one session; messages lost, late and out of order, one restart",
@@ -125,6 +132,11 @@
         | Mutant::FenceReversed
         | Mutant::GrantKeptShort
         | Mutant::LateAnswerCounts => "ownership",
+        Mutant::PledgeForgotten
+        | Mutant::PledgedTwice
+        | Mutant::PledgeFromAnswer
+        | Mutant::GrantFromArrival
+        | Mutant::GrantUncounted => "shares",
         Mutant::MergeLowers | Mutant::LossForgotten | Mutant::GapPassed | Mutant::BehindGiven => "marks",
     }
 }
--- a/crates/models/src/shares.rs
+++ b/crates/models/src/shares.rs
@@ -30,6 +30,8 @@
 /// An event.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Move {
+    /// Which troubles may come: all of them at a time would be more states than can be seen.
+    Trouble(usize),
     /// This owner opens a round; what becomes of the lender's answer, and of the grant to whoever asks.
     Round(usize, Way, Way),
     /// Something late arrives.
@@ -56,8 +58,26 @@
     may_be_late: u8,
     restarts: u8,
     waits: u8,
+    begun: bool,
+    large: bool,
 }
 
+/// How often what may happen.
+#[derive(Clone, Copy, Debug)]
+struct Trouble {
+    /// Each owner opens a round.
+    rounds: [u8; 2],
+    late: u8,
+    restarts: u8,
+    waits: u8,
+}
+
+const TROUBLES: [Trouble; 3] = [
+    Trouble { rounds: [2, 2], late: 0, restarts: 0, waits: 2 },
+    Trouble { rounds: [3, 0], late: 1, restarts: 0, waits: 4 },
+    Trouble { rounds: [2, 2], late: 0, restarts: 1, waits: 1 },
+];
+
 fn settings() -> Settings {
     Settings { me: 0, gateways: 3, electors: vec![0, 1, 2], lease: LEASE, drift: 0.0, delay: 1_000 }
 }
@@ -83,6 +103,9 @@
     const PROPERTIES: &'static [&'static str] = &[SUM];
 
     fn moves(&self) -> Vec<Move> {
+        if !self.begun {
+            return (0..TROUBLES.len()).map(Move::Trouble).collect();
+        }
         let mut moves = Vec::new();
         for owner in (0..2).filter(|owner| self.rounds[*owner] > 0) {
             for lends in [Way::Lost, Way::Now, Way::Late] {
@@ -104,6 +127,13 @@
 
     fn play(&mut self, event: &Move) {
         match *event {
+            Move::Trouble(which) => {
+                let Trouble { rounds, late, restarts, waits } = TROUBLES[which];
+                let more = u8::from(self.large);
+                self.begun = true;
+                (self.rounds, self.may_be_late) = (rounds, late);
+                (self.restarts, self.waits) = (restarts, waits + more);
+            }
             Move::Round(owner, lends, given) => {
                 self.rounds[owner] -= 1;
                 let (now, asker) = (self.now, 1 + owner);
@@ -153,6 +183,7 @@
 
     fn told(&self, event: &Move) -> String {
         let what = match event {
+            Move::Trouble(which) => format!("of troubles there may be: {:?}", TROUBLES[*which]),
             Move::Round(owner, lends, given) => {
                 format!("owner {owner} opens a round; the lender's answer: {lends:?}, the grant: {given:?}")
             }
@@ -172,7 +203,6 @@
 /// Plays it.
 pub fn run(size: Size, path: &[String]) -> Report {
     let now = 100_000;
-    let more = u8::from(size == Size::Large);
     let mut pools: Vec<Pool> = [5, 6].map(|term: Term| Pool::new(settings(), term)).into();
     for (owner, pool) in pools.iter_mut().enumerate() {
         // Both have heard rates, so that the means are known from the first round on, and what is asked for.
@@ -186,11 +216,13 @@
         now,
         parts: (0..3).map(|who| Part::new(settings(), now - 4 * LEASE, who * 100)).collect(),
         pools,
-        rounds: [2 + more, 2],
+        rounds: [0, 0],
         late: Vec::new(),
-        may_be_late: 1,
-        restarts: 1,
-        waits: 3,
+        may_be_late: 0,
+        restarts: 0,
+        waits: 0,
+        begun: false,
+        large: size == Size::Large,
     };
     check(start, path)
 }
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `candidate.rs` | asking, owning, renewing, giving up |
 //! | `fence.rs` | the highest term seen of each duty |
 //! | `office.rs` | all of it for one gateway, with what is to be sent to whom |
+//! | `shares/` | a duty's own machines: parts of limits lent, given and back in time |
 //! | `message.rs` | datagrams of at most 256 bytes |
 //!
 //! **Promises**, each checked by the model `ownership` of `petrelgauge-models` and by tests in simulated time:
@@ -56,6 +57,7 @@
 mod message;
 mod office;
 mod settings;
+pub mod shares;
 
 pub use candidate::{Candidate, Step};
 pub use elector::Elector;
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -1,8 +1,9 @@
 //! Datagrams: a mark, a version, the fleet's fingerprint, the body as `postcard` writes it, and CRC-32C keyed by the
 //! fleet's secret, 4 bytes.
 
+use crate::shares::{Line, Milli};
 use crate::{Ballot, Duty, Gateway, Term};
-use petrelgauge_policy::Time;
+use petrelgauge_policy::{GroupId, Time};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -83,7 +84,7 @@
 }
 
 /// What an owner tells: the effect of its duty, as far as others are concerned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Word {
     /// It owns the duty, for so long yet at most.
     Owns {
@@ -97,10 +98,24 @@
         /// The group's time up to which it had applied all commits.
         position: Time,
     },
+    /// A round of the share-out: all are to answer it.
+    Round {
+        /// Its number.
+        round: u32,
+        /// Mean rates of all who were heard (thousandths of a request a second), or a part of them.
+        means: Vec<(GroupId, u32)>,
+    },
+    /// What one gateway is given beside its even part.
+    Grant {
+        /// The number of its answer.
+        number: u32,
+        /// Thousandths of an even part.
+        given: Vec<(GroupId, Milli)>,
+    },
 }
 
 /// One datagram.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Message {
     /// A candidate to an elector.
     Ask(Duty, Ask),
@@ -118,6 +133,17 @@
     },
     /// A receiver to an owner whose word was turned away: a higher term is about.
     Turned(Duty, Term),
+    /// A gateway to the owner of the share-out: what it lends or asks for.
+    Lines {
+        /// The owner's term.
+        term: Term,
+        /// The round that is answered.
+        round: u32,
+        /// Counts this gateway's answers.
+        number: u32,
+        /// What it says, for each group.
+        lines: Vec<Line>,
+    },
 }
 
 /// Why a datagram cannot be used.
--- a/crates/ownership/src/office.rs
+++ b/crates/ownership/src/office.rs
@@ -147,7 +147,7 @@
                 }
             }
             // What it says is for whoever sees to the duty.
-            Message::Found { .. } => {}
+            Message::Found { .. } | Message::Lines { .. } => {}
             Message::Turned(duty, term) => {
                 if let Some(one) = self.candidates.get_mut(&duty) {
                     one.outbid(term);
--- a/crates/ownership/src/shares/mod.rs
+++ b/crates/ownership/src/shares/mod.rs
@@ -30,7 +30,7 @@
 pub use rates::Rates;
 
 use crate::Settings;
-use petrelgauge_policy::{GroupId, Time};
+use petrelgauge_policy::{mutant, GroupId, Mutant, Time};
 use serde::{Deserialize, Serialize};
 
 /// Thousandths of an even part.
@@ -79,7 +79,8 @@
 
     /// The same as an owner counts it, from when the asking came.
     pub fn grant_counted(&self) -> Time {
-        (self.grant_life() as f64 * (1.0 + self.drift) / (1.0 - self.drift)).ceil() as Time
+        let life = self.grant_life() / if mutant(Mutant::GrantUncounted) { 4 } else { 1 };
+        (life as f64 * (1.0 + self.drift) / (1.0 - self.drift)).ceil() as Time
     }
 
     /// Between two rounds of an owner.
--- a/crates/ownership/src/shares/pool.rs
+++ b/crates/ownership/src/shares/pool.rs
@@ -28,7 +28,12 @@
 
     /// Most that it may be using.
     fn given(&self, now: Time) -> i64 {
-        self.given.iter().filter(|(_, end)| now <= *end).map(|(given, _)| i64::from(*given)).max().unwrap_or(0)
+        self.given
+            .iter()
+            .filter(|(_, end)| now <= *end)
+            .map(|(given, _)| i64::from(*given))
+            .max()
+            .unwrap_or(0)
     }
 }
 
@@ -95,7 +100,9 @@
 
     /// A gateway answers a round: what it is given.
     pub fn hear(&mut self, now: Time, from: Gateway, round: u32, lines: &[Line]) -> Vec<(GroupId, Milli)> {
-        let Some((_, opened)) = self.rounds.iter().find(|(known, _)| *known == round) else { return Vec::new() };
+        let Some((_, opened)) = self.rounds.iter().find(|(known, _)| *known == round) else {
+            return Vec::new();
+        };
         let counted = self.settings.pledge_counted();
         let lent_until = if mutant(Mutant::PledgeFromAnswer) { now } else { *opened } + counted;
         let mut given = Vec::new();
@@ -112,7 +119,8 @@
             }
             let fair = (f64::from(*asks) * state.ratio) as i64;
             let gives = self.settings.grant_counted();
-            let end = now + if mutant(Mutant::GrantUncounted) { self.settings.grant_life() / 4 } else { gives };
+            let end =
+                now + if mutant(Mutant::GrantUncounted) { self.settings.grant_life() / 4 } else { gives };
             let amount = state.room(now, from, end).min(fair);
             if amount > 0 {
                 let amount = amount.min(i64::from(super::MOST_GIVEN)) as Milli;
--- a/crates/ownership/tests/fleet.rs
+++ b/crates/ownership/tests/fleet.rs
@@ -118,7 +118,7 @@
                 let late = if self.draw(50) == 0 { 30 * DELAY } else { DELAY };
                 let at = self.now + 1 + self.draw(late as u64) as Time;
                 self.next += 1;
-                self.flying.insert((at, self.next), (from, to, message));
+                self.flying.insert((at, self.next), (from, to, message.clone()));
             }
         }
     }
@@ -200,7 +200,9 @@
         if self.candidates.contains(&me) && self.now % 50_000 == 0 {
             // The owner's work: an effect that everybody hears of.
             if let Some(word) = office.word(clock, DUTY, Word::Primary { member: 7, position: clock }) {
-                sent.extend((0..self.machines.len() as u16).filter(|to| *to != me).map(|to| (to, word)));
+                sent.extend(
+                    (0..self.machines.len() as u16).filter(|to| *to != me).map(|to| (to, word.clone())),
+                );
             }
         }
         self.send(me, sent);
--- a/crates/policy/src/beliefs.rs
+++ b/crates/policy/src/beliefs.rs
@@ -37,7 +37,7 @@
             (member.out, member.lost, member.quiet, member.probe_out) = (0, 0, (0.0, 0), false);
         }
         let mut groups = self.groups.clone();
-        groups.values_mut().for_each(|group| group.waiting.clear());
+        groups.values_mut().for_each(|group| (group.waiting, group.share) = Default::default());
         Beliefs {
             members,
             groups,
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -275,6 +275,29 @@
     pub primary: bool,
 }
 
+/// How far this router's part in the limits of a group's members differs from an even one, for a while.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Share {
+    /// What it has more, in even parts; what it gave away is under 0, and never all of it.
+    pub extra: f64,
+    /// Until when: after that its part is the even one.
+    pub until: Time,
+}
+
+impl Share {
+    /// The least that is left to any router, in even parts.
+    pub const LEAST: f64 = 0.5;
+
+    /// Its part at a time, in even ones.
+    pub fn at(&self, now: Time) -> f64 {
+        if now < self.until {
+            (1.0 + self.extra).max(Share::LEAST)
+        } else {
+            1.0
+        }
+    }
+}
+
 /// A member's role.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Role {
@@ -380,6 +403,8 @@
         /// When.
         at: Time,
     },
+    /// What this router may use of the limits of a group's members, until it is told again or the share is over.
+    Share(GroupId, Share),
     /// Nobody waits for the request any more.
     Withdrawn {
         /// The request.
--- a/crates/policy/src/mutant.rs
+++ b/crates/policy/src/mutant.rs
@@ -76,11 +76,21 @@
     GrantKeptShort,
     /// A bid goes on however late its answers come.
     LateAnswerCounts,
+    /// A gateway that started again lends what it may have lent before.
+    PledgeForgotten,
+    /// What is lent to one owner is lent to the next as well.
+    PledgedTwice,
+    /// An owner counts on a pledge from when it came.
+    PledgeFromAnswer,
+    /// A grant is used from when it came.
+    GrantFromArrival,
+    /// An owner counts on a grant's being back before it is.
+    GrantUncounted,
 }
 
 impl Mutant {
     /// All of them.
-    pub const ALL: [Mutant; 36] = [
+    pub const ALL: [Mutant; 41] = [
         Mutant::DrainIgnored,
         Mutant::WindowIgnored,
         Mutant::UnsafeRepeated,
@@ -117,6 +127,11 @@
         Mutant::FenceReversed,
         Mutant::GrantKeptShort,
         Mutant::LateAnswerCounts,
+        Mutant::PledgeForgotten,
+        Mutant::PledgedTwice,
+        Mutant::PledgeFromAnswer,
+        Mutant::GrantFromArrival,
+        Mutant::GrantUncounted,
     ];
 }
 
--- a/crates/policy/src/router/cold.rs
+++ b/crates/policy/src/router/cold.rs
@@ -18,18 +18,17 @@
     /// Attempts that a cold member may be sent now. It gets its share of what this router sees members carry,
     /// so that the routers together stay inside the budget without a word between them. Each starts from a
     /// drawn part of one attempt: with hundreds of routers even one from each at once would push it over.
-    pub(super) fn cold_credit(&self, member: &Member, share: f64) -> f64 {
+    pub(super) fn cold_credit(&self, member: &Member) -> f64 {
         let carried = self.rate_now() / self.alive.max(1) as f64 * member.weight.min(1.0);
         let least = COLD_LEAST / self.set.routers as f64;
         let part = if member.leads() { COLD_PRIMARY } else { COLD_SHARE };
-        let rate = part * self.set.overload_factor * share * carried.max(least);
+        let rate = part * self.set.overload_factor * self.present_share(member) * carried.max(least);
         let most = (rate * self.set.overload_span as f64 / 2e6).max(1.0);
         (member.credit + rate * (self.now - member.credited_at) as f64 / 1e6).min(most)
     }
 
     pub(super) fn cold_room(&self, id: MemberId) -> bool {
-        let Some(member) = self.members.get(&id) else { return false };
-        let share = self.present_share(member);
-        share >= 1.0 || self.cold_credit(member, share) >= 1.0
+        let ready = |m: &Member| self.present_share(m) >= 1.0 || self.cold_credit(m) >= 1.0;
+        self.members.get(&id).is_some_and(ready)
     }
 }
--- a/crates/policy/src/router/health.rs
+++ b/crates/policy/src/router/health.rs
@@ -24,8 +24,7 @@
         }
         // Members are replaced for as long as a router runs.
         self.members.retain(|_, member| now - member.named < FORGOTTEN);
-        let members = &self.members;
-        self.groups.values_mut().for_each(|group| group.members.retain(|id| members.contains_key(id)));
+        self.groups.values_mut().for_each(|group| group.members.retain(|id| self.members.contains_key(id)));
         for out in self.outs.values() {
             let Some(member) = self.members.get_mut(&out.member) else { continue };
             let (waited, aim) = (now - out.sent, self.set.classes[out.class].aim);
@@ -36,8 +35,7 @@
             }
         }
         self.alive = self.members.values().filter(|m| self.standing(m) && !m.down).count();
-        let ids: Vec<MemberId> = self.members.keys().copied().collect();
-        for id in ids {
+        for id in self.members.keys().copied().collect::<Vec<_>>() {
             let Some(member) = self.members.get_mut(&id) else { continue };
             // Nothing heard since several were sent says soon what one alone says after its aim; a crowded
             // member is given longer. Covers what hangs or is cut off; harms one that pauses, for a moment.
@@ -106,8 +104,7 @@
         let Some(member) = self.members.get_mut(&id) else { return };
         member.probe_out = false;
         if ending == Ending::Served {
-            member.heard = now;
-            member.suspect = false;
+            (member.heard, member.suspect) = (now, false);
             if member.down {
                 member.down = false;
                 // It may have restarted unannounced: it counts as cold from now.
--- a/crates/policy/src/router/list.rs
+++ b/crates/policy/src/router/list.rs
@@ -73,6 +73,7 @@
         };
         let now = self.now;
         let out = self.outs.remove(&(request.clone(), *attempt));
+        let part = self.group_of(*id).map_or(self.part, |group| self.part(group));
         let spoke = matches!(ending, Ending::Served | Ending::Error | Ending::Full | Ending::TurnedAway);
         let write = out.as_ref().is_some_and(|o| self.set.classes[o.class].need == Need::Write);
         if spoke {
@@ -95,7 +96,7 @@
                 let freed = std::mem::take(&mut member.suspect);
                 member.barred_until = if freed { now } else { member.barred_until };
             }
-            let (aim, part) = (self.set.classes[out.class].aim as f64, self.part);
+            let aim = self.set.classes[out.class].aim as f64;
             let aims = *took as f64 / aim;
             let sample = (now, aims / (1.0 + out.beside));
             // Reads are also shed by the sojourns of all members. Work given up or full counts only where
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -85,7 +85,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Router {
     set: Settings,
-    /// This router's part in the limits of a few.
+    /// This router's even part in the limits of a few.
     part: f64,
     rng: Dice,
     pub(crate) now: Time,
@@ -162,6 +162,7 @@
                     self.names.get(request).copied().into_iter().for_each(|seq| self.close(seq));
                 }
                 Event::Hearsay { member, at } => self.learn(*member, None, Some(Role::Primary), Some(*at)),
+                Event::Share(group, share) => self.groups.entry(*group).or_default().share = *share,
                 Event::Probed { member, ending, report } => self.probed(*member, *ending, report),
                 Event::Timer { .. } => self.ticking = false,
             }
@@ -181,6 +182,11 @@
         actions.append(&mut self.actions);
     }
 
+    /// This router's part in the limits of a group's members: the even one, and what it was given or gave away.
+    pub(super) fn part(&self, group: GroupId) -> f64 {
+        self.part * self.groups.get(&group).map_or(1.0, |g| g.share.at(self.now))
+    }
+
     fn note(&mut self, text: String) {
         if self.now - self.noted_at > 200_000 {
             self.noted_at = self.now;
--- a/crates/policy/src/router/requests.rs
+++ b/crates/policy/src/router/requests.rs
@@ -84,18 +84,17 @@
     }
 
     pub(super) fn expire(&mut self) {
-        let now = self.now;
         let mut ended = Vec::new();
         for (seq, req) in &self.requests {
             let class = &self.set.classes[req.class];
             let out = req.attempts.iter().any(|a| a.out);
             // What is out is not given up for being late: its work goes on, and its client would come again.
             let safe = class.effect == Effect::Safe && class.late_share <= 0.0;
-            let worthless = safe && !out && now >= req.born + share_of(class.aim, HOPE);
+            let worthless = safe && !out && self.now >= req.born + share_of(class.aim, HOPE);
             // Never sent by half its time, it has little hope here; its client still has time to retry.
             let unsent = req.attempts.iter().all(|a| !a.out && !a.reached);
             let end = if unsent { req.half } else { req.end };
-            if now + 2 * self.set.granularity >= end || worthless {
+            if self.now + 2 * self.set.granularity >= end || worthless {
                 ended.push(*seq);
             }
         }
--- a/crates/policy/src/router/sends.rs
+++ b/crates/policy/src/router/sends.rs
@@ -5,9 +5,10 @@
 impl Router {
     pub(super) fn room(&self, id: MemberId, share: f64) -> bool {
         let Some(member) = self.members.get(&id) else { return false };
-        let most = if member.strikes >= DOUBTFUL { 1.0 } else { member.limit * self.part * share };
+        let cap =
+            if member.strikes >= DOUBTFUL { 1.0 } else { member.limit * self.part(member.group) * share };
         let out = member.out.saturating_sub(member.lost) as f64;
-        out < most.max(1.0) && self.now >= member.paced_until && self.cold_room(id)
+        out < cap.max(1.0) && self.now >= member.paced_until && self.cold_room(id)
     }
 
     /// May this attempt go out at all? Asked for every send, whatever path wants it.
@@ -50,8 +51,7 @@
         let Some(req) = self.requests.get(&seq).filter(|req| self.allowed(req, id)) else { return };
         let (now, request, class, end) = (self.now, req.id.clone(), req.class, req.end);
         let place = req.attempts.len() as u32;
-        let Some(member) = self.members.get(&id) else { return };
-        let credit = self.cold_credit(member, self.present_share(member)) - 1.0;
+        let credit = self.members.get(&id).map_or(0.0, |member| self.cold_credit(member)) - 1.0;
         let Some(member) = self.members.get_mut(&id) else { return };
         (member.credit, member.credited_at) = (credit, now);
         // A suspect is tried for a short while, so that its request has time left for another.
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -84,6 +84,8 @@
     pub(crate) waiting: BTreeSet<u64>,
     pub(crate) commits: VecDeque<Time>,
     pub(crate) scout_at: Time,
+    /// What was given of others' parts, or given away of the own.
+    pub(crate) share: Share,
 }
 
 /// An attempt, as its request knows it.
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -3,6 +3,8 @@
 
 use petrelgauge_policy::*;
 
+pub mod fleet;
+
 pub const G: GroupId = 7;
 pub const MS: Time = 1_000;
 pub const START: Time = 1_000_000_000;
--- a/deploy/petrelgauge.cue
+++ b/deploy/petrelgauge.cue
@@ -10,4 +10,5 @@
 // ownership: {
 //     secret: "9f3c5a7e21d04b68"
 //     electors: 3
+//     duties: ["scout", "shares"]
 // }
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -78,6 +78,18 @@
         self.0.desk.borrow_mut().scout_every(times);
     }
 
+    /// What this gateway may use of the limits of a group's members, from the next step on, which comes before whatever
+    /// the caller does next has an effect elsewhere.
+    pub fn share(&self, group: GroupId, share: Share) {
+        self.0.desk.borrow_mut().share(group, share);
+        self.0.woken.notify_one();
+    }
+
+    /// Requests that came for each group that the list names.
+    pub fn asked(&self) -> BTreeMap<GroupId, u64> {
+        self.0.desk.borrow().asked()
+    }
+
     /// The group of a member that the list names.
     pub fn group(&self, member: MemberId) -> Option<GroupId> {
         self.0.desk.borrow().group(member)
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,6 +15,7 @@
 use petrelgauge::net::ops::Ops;
 use petrelgauge::net::peers::Peers;
 use petrelgauge::net::room::Room;
+use petrelgauge::net::share_out::{ShareOut, SHARES};
 use petrelgauge::{Class, Need, Settings, Time};
 use petrelgauge_handover::company::Held;
 use petrelgauge_lifecycle::backoff::Backoff;
@@ -254,10 +255,14 @@
         Office::new(settings, now, config.seed).map_err(|cause| format!("ownership: {cause}"))?;
     if elector {
         // Electors are candidates too, and nobody else: so few ask, however many there are.
-        office.want(now, SCOUT);
+        let wanted = [(set.scout, SCOUT), (set.shares, SHARES)];
+        wanted.iter().filter(|(on, _)| *on).for_each(|(_, duty)| office.want(now, *duty));
     }
+    // A process that starts again must not take what was given to the one before it.
+    let drawn = (config.seed ^ now as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
+    let shares = set.shares.then(|| ShareOut::new(&office, drawn as u32, facade.clone(), clock));
     let (facade, counters, numbers) = (facade.clone(), counters.clone(), numbers.clone());
-    Ok(Some(Duties::new(office, set.secret, facade, clock, counters, numbers)))
+    Ok(Some(Duties::new(office, shares, set.secret, facade, clock, counters, numbers)))
 }
 
 /// A keeper of sessions with the classes that carry them, and where to exchange marks.
--- a/src/net/duties.rs
+++ b/src/net/duties.rs
@@ -1,13 +1,15 @@
 //! This gateway's part in the fleet's duties, carried by datagrams. Who owns what, and whether a word is taken, stands in
 //! `petrelgauge_ownership`; what follows from a word the decisions see to.
 //!
-//! The one duty so far: the **scout** tells all others which member answered as its group's primary; whoever has such an
+//! The **scout** tells all others which member answered as its group's primary; whoever has such an
 //! answer tells the scout. While one is known, all others try members of a group without a primary more rarely, the more
-//! gateways there are: together they try about as often as one alone would.
+//! gateways there are: together they try about as often as one alone would. The **share-out** is carried by
+//! `share_out.rs`.
 
 use crate::facade::Facade;
 use crate::net::clock::Clock;
 use crate::net::counters::Counters;
+use crate::net::share_out::{ShareOut, SHARES};
 use crate::{GroupId, MemberId, Time};
 use petrelgauge_ownership::{Duty, Gateway, Message, Office, Term, Word};
 use std::cell::{Cell, RefCell};
@@ -33,6 +35,7 @@
 /// This gateway's part.
 pub struct Duties {
     office: RefCell<Office>,
+    shares: Option<RefCell<ShareOut>>,
     /// Told apart from fleets with other electors or spans.
     fleet: u32,
     secret: u64,
@@ -54,6 +57,7 @@
     /// A part for this office.
     pub fn new(
         office: Office,
+        shares: Option<ShareOut>,
         secret: u64,
         facade: Facade,
         clock: Clock,
@@ -63,6 +67,7 @@
         let fleet = office.settings().fingerprint();
         Rc::new(Duties {
             office: RefCell::new(office),
+            shares: shares.map(RefCell::new),
             fleet,
             secret,
             facade,
@@ -84,7 +89,8 @@
 
     /// When [`Duties::due`] is to be called at the latest.
     pub fn due_at(&self) -> Time {
-        let due = self.office.borrow().due_at();
+        let shares = self.shares.as_ref().and_then(|shares| shares.borrow().due_at());
+        let due = self.office.borrow().due_at().into_iter().chain(shares).min();
         due.map_or(self.look_at.get(), |due| due.min(self.look_at.get()))
     }
 
@@ -103,6 +109,10 @@
             self.look(now);
             parcels.extend(self.tell(now));
         }
+        if let Some(shares) = &self.shares {
+            let sent = shares.borrow_mut().due(&mut self.office.borrow_mut());
+            parcels.extend(self.post(sent));
+        }
         parcels
     }
 
@@ -136,21 +146,33 @@
             Some((who, term)) => format!("{who} term={term}"),
             None => "nobody".to_string(),
         };
-        format!("{} scout={owner}", office.counts())
+        let shares = self.shares.as_ref().map(|shares| format!(" {}", shares.borrow().counts()));
+        format!("{} scout={owner}{}", office.counts(), shares.unwrap_or_default())
     }
 
     fn take(&self, from: Gateway, message: Message) -> Vec<(Gateway, Message)> {
         let now = self.clock.now();
-        match message {
-            Message::Word(SCOUT, term, Word::Primary { member, position })
-                if self.office.borrow().takes(SCOUT, term) =>
-            {
-                self.primary(now, member, position)
+        let taken = match &message {
+            Message::Word(duty, term, _) => self.office.borrow().takes(*duty, *term),
+            _ => true,
+        };
+        let mut sent = Vec::new();
+        match &message {
+            Message::Word(SCOUT, _, Word::Primary { member, position }) if taken => {
+                self.primary(now, *member, *position)
+            }
+            Message::Found { member, position } => self.primary(now, *member, *position),
+            Message::Word(SHARES, ..) | Message::Lines { .. } if taken => {
+                let mut office = self.office.borrow_mut();
+                let shares = self.shares.as_ref().filter(|_| from < office.settings().gateways);
+                sent.extend(
+                    shares.into_iter().flat_map(|one| one.borrow_mut().hear(from, &message, &mut office)),
+                );
             }
-            Message::Found { member, position } => self.primary(now, member, position),
             _ => {}
         }
-        self.office.borrow_mut().hear(now, from, message)
+        sent.extend(self.office.borrow_mut().hear(now, from, message));
+        sent
     }
 
     /// A scout says who leads. A member that the own list does not name is nobody.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -21,4 +21,5 @@
 pub mod pg;
 pub mod room;
 pub mod set;
+pub mod share_out;
 pub mod statement;
--- a/src/net/share_out.rs
+++ b/src/net/share_out.rs
@@ -125,15 +125,16 @@
         self.told.retain(|_, share| now < share.until);
     }
 
-    /// What there is to show: parts lent and given here, and, of the owner, lent to it and given by it, in even parts.
+    /// What there is to show: parts lent and given here, and, of the owner, lent to it and given by it, in thousandths of
+    /// even parts.
     pub fn counts(&self) -> String {
         let now = self.clock.now();
-        let extras = || self.part.groups().map(|group| self.part.share(now, group).extra);
-        let lent: f64 = extras().filter(|extra| *extra < 0.0).sum::<f64>().abs();
-        let given: f64 = extras().filter(|extra| *extra > 0.0).sum();
-        let pool = self.pool.as_ref().map(|pool| pool.sums(now)).map(|(lent, given)| {
-            format!(" pool_lent={:.2} pool_given={:.2}", lent as f64 / 1000.0, given as f64 / 1000.0)
-        });
-        format!("share_lent={lent:.2} share_given={given:.2}{}", pool.unwrap_or_default())
+        let extras =
+            || self.part.groups().map(|group| (self.part.share(now, group).extra * 1000.0).round() as i64);
+        let lent = -extras().filter(|extra| *extra < 0).sum::<i64>();
+        let given: i64 = extras().filter(|extra| *extra > 0).sum();
+        let pool = self.pool.as_ref().map(|pool| pool.sums(now));
+        let pool = pool.map(|(lent, given)| format!(" pool_lent={lent} pool_given={given}"));
+        format!("share_lent={lent} share_given={given}{}", pool.unwrap_or_default())
     }
 }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -36,6 +36,10 @@
     pub spans: Spans,
     /// The same at all gateways.
     pub secret: u64,
+    /// Electors bid for the scout's duty.
+    pub scout: bool,
+    /// This gateway takes part in the share-out of limits, and electors bid for that duty.
+    pub shares: bool,
 }
 
 impl Operator {
@@ -147,6 +151,11 @@
         ..spans.clone()
     };
     stand_in.check().map_err(|cause| record.error(format!("ownership: {cause}")))?;
+    let duties = record.texts("duties")?.unwrap_or_else(|| vec!["scout".into()]);
+    if let Some(other) = duties.iter().find(|name| !["scout", "shares"].contains(&name.as_str())) {
+        return Err(record.error(format!("duties are \"scout\" and \"shares\", not {other:?}")));
+    }
+    let [scout, shares] = ["scout", "shares"].map(|one| duties.iter().any(|name| name == one));
     record.end()?;
-    Ok(Ownership { electors, spans, secret })
+    Ok(Ownership { electors, spans, secret, scout, shares })
 }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -2,14 +2,17 @@
 //! again. What they do is read outside of them, by a sixth address among their peers.
 
 mod stage;
+use petrelgauge_ownership::shares::{Line, Milli};
 use petrelgauge_ownership::{Duty, Fence, Message, Settings, Term, Word};
 use stage::*;
+use std::collections::BTreeMap;
 use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
 const GATEWAYS: usize = 5;
 const SECRET: u64 = 0x5e;
 const SCOUT: Duty = Duty { kind: 1, group: 0 };
+const SHARES: Duty = Duty { kind: 2, group: 0 };
 const FILE: &str =
     "ownership: {\n  secret: \"5e\"\n  electors: 3\n  lease: 800ms\n  delay: 40ms\n  drift_percent: 1\n}\n";
 
@@ -73,7 +76,7 @@
         loop {
             let told = self.taken.iter().rev().find_map(|(_, _, _, word)| match word {
                 Word::Primary { member, .. } => Some(*member),
-                Word::Owns { .. } => None,
+                _ => None,
             });
             if let Some(member) = told {
                 return member;
@@ -92,6 +95,10 @@
 }
 
 fn fleet(number: u8) -> Fleet {
+    fleet_with(number, FILE)
+}
+
+fn fleet_with(number: u8, file: &str) -> Fleet {
     let ledger = Ledger::new(&format!("127.77.{number}.9"));
     let sockets: Vec<UdpSocket> = (0..GATEWAYS)
         .map(|_| UdpSocket::bind(format!("127.77.{number}.8:0")).expect("a free port"))
@@ -109,7 +116,7 @@
         .into_iter()
         .enumerate()
         .map(|(place, stage)| {
-            let stage = stage.list(&[(&host, "up", "primary")]).operator(FILE);
+            let stage = stage.list(&[(&host, "up", "primary")]).operator(file);
             let more = format!("{{\"peer_listen\":\"{}\",\"peers\":[{list_of}],", peers[place]);
             let config = stage.config().replacen('{', &more, 1);
             (stage, config)
@@ -128,6 +135,13 @@
         self.gateways[place] = Some(gateway);
     }
 
+    /// Where it hears the others.
+    fn address(&self, place: u16) -> String {
+        let (_, config) = &self.stages[place as usize];
+        let at = config.find("peer_listen\":\"").expect("it names one") + 14;
+        config[at..].split('"').next().expect("an address").to_string()
+    }
+
     fn gateway(&self, place: u16) -> &Gateway {
         self.gateways[place as usize].as_ref().expect("it runs")
     }
@@ -198,11 +212,7 @@
 fn datagrams_that_make_no_sense_are_counted_and_change_nothing() {
     let mut fleet = fleet(104);
     let (who, term) = fleet.ledger.owner_after(0);
-    let target = {
-        let (_, config) = &fleet.stages[1];
-        let at = config.find("peer_listen\":\"").expect("it names one") + 14;
-        config[at..].split('"').next().expect("an address").to_string()
-    };
+    let target = fleet.address(1);
     let word = Message::Word(SCOUT, term + 5, Word::Owns { left: 1_000_000 });
     let fleet_of = fleet.ledger.settings.fingerprint();
     let whole = word.write(3, fleet_of, SECRET);
@@ -230,6 +240,7 @@
         ("drift_percent: 50", "the drift must be"),
         ("secret: \"zz\"", "hexadecimal"),
         ("electors: \"a\"", "a whole number"),
+        ("duties: [\"scouts\"]", "duties are"),
     ];
     let stage = Stage::new(110);
     let config = stage.config();
@@ -244,3 +255,107 @@
         assert!(log.contains(".cue:") && log.contains(cause), "{log} should name {cause}");
     }
 }
+
+/// The sixth address as a gateway with all of the work: it answers each round by asking for four parts.
+struct Asker {
+    asked: BTreeMap<u32, Instant>,
+    next: u32,
+    /// By term: what was given and until when, as a gateway reckons it.
+    given: BTreeMap<Term, Vec<(Milli, Instant)>>,
+    /// The most that was in force at once, over all terms, and the owners that gave something.
+    most: i64,
+    owners: Vec<(u16, Term)>,
+}
+
+impl Asker {
+    fn ask(&mut self, fleet: &mut Fleet, span: Duration) {
+        let until = Instant::now() + span;
+        let mut bytes = [0; 300];
+        while Instant::now() < until {
+            let Ok((count, _)) = fleet.ledger.socket.recv_from(&mut bytes) else { continue };
+            let read = Message::read(&bytes[..count], fleet.ledger.settings.fingerprint(), SECRET);
+            let (from, message) = read.expect("the gateways of this fleet write so");
+            let Message::Word(SHARES, term, word) = message else { continue };
+            if fleet.ledger.fence.pass(SHARES, term).is_err() {
+                continue;
+            }
+            match word {
+                Word::Round { round, .. } => {
+                    self.next += 1;
+                    self.asked.insert(self.next, Instant::now());
+                    let lines = vec![Line { group: 2, rate: 4_000_000, asks: 4_000 }];
+                    let answer = Message::Lines { term, round, number: self.next, lines };
+                    let bytes = answer.write(5, fleet.ledger.settings.fingerprint(), SECRET);
+                    fleet.ledger.socket.send_to(&bytes, fleet.address(from)).expect("sent");
+                }
+                Word::Grant { number, given } => {
+                    let life = Duration::from_micros(fleet.ledger.settings.grant_life() as u64);
+                    let until = self.asked[&number] + life;
+                    let amounts = given.iter().map(|(group, amount)| {
+                        assert_eq!(*group, 2);
+                        (*amount, until)
+                    });
+                    self.given.entry(term).or_default().extend(amounts);
+                    if !self.owners.contains(&(from, term)) {
+                        self.owners.push((from, term));
+                    }
+                    self.look();
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn look(&mut self) {
+        let now = Instant::now();
+        let alive = |given: &Vec<(Milli, Instant)>| {
+            given.iter().filter(|(_, until)| now < *until).map(|(amount, _)| i64::from(*amount)).max()
+        };
+        let sum = self.given.values().filter_map(alive).sum();
+        self.most = self.most.max(sum);
+    }
+}
+
+// Five idle gateways lend half of their part at most: 2500 thousandths in all. An owner that was killed or stood still has
+// given what its lenders must not lend to the next one while it lasts.
+#[test]
+fn what_idle_gateways_lend_is_given_once_whoever_owns_the_duty() {
+    let file = FILE.replacen("  electors", "  duties: [\"scout\", \"shares\"]\n  electors", 1);
+    let mut fleet = fleet_with(116, &file);
+    let mut asker =
+        Asker { asked: BTreeMap::new(), next: 0, given: BTreeMap::new(), most: 0, owners: Vec::new() };
+    let begun = Instant::now();
+    while asker.most < 2_000 {
+        asker.ask(&mut fleet, Duration::from_millis(100));
+        assert!(begun.elapsed() < Duration::from_secs(30), "{} was given at most", asker.most);
+    }
+    for kill in [true, false] {
+        let (who, term) = *asker.owners.last().expect("somebody gives");
+        fleet.gateway(who).wait_for("pool_lent=", |lent| lent >= 2_000);
+        if kill {
+            fleet.gateways[who as usize] = None;
+        } else {
+            fleet.gateway(who).signal("STOP");
+        }
+        let begun = Instant::now();
+        while !asker.owners.iter().any(|(_, other)| *other > term) {
+            asker.ask(&mut fleet, Duration::from_millis(100));
+            assert!(begun.elapsed() < Duration::from_secs(30), "nobody else gives");
+        }
+        if kill {
+            fleet.start(who as usize);
+        } else {
+            fleet.gateway(who).signal("CONT");
+        }
+        asker.ask(&mut fleet, Duration::from_millis(1500));
+    }
+    assert!(asker.most <= 2_500, "{} thousandths of a part in force, of 2500 lent", asker.most);
+    // With all work gone from it, a gateway has its even part again; one that gets work asks for nothing of its own.
+    let (who, _) = *asker.owners.last().expect("somebody gives");
+    let other = (0..GATEWAYS as u16).find(|place| *place != who).expect("four others");
+    fleet.gateway(other).wait_for("share_lent=", |lent| lent == 500);
+    let both: Vec<u16> = vec![0, 2, 4];
+    both.iter().for_each(|place| fleet.gateways[*place as usize] = None);
+    fleet.gateway(1).wait_for("share_lent=", |lent| lent == 0);
+    assert_eq!(kinds(&fleet.gateway(1).client().ask(&select("a", "view", 20000))), "TDCZ");
+}
