Know a gateway's number from the settings where peers are listed by other paths

Change: Config::place() takes the place of peer_listen in peers, or else my_number of the settings; the datagrams' sender leaves itself out by number. Sessions that exchange marks had the same fault.

Result: a process test with such a configuration, which ends with code 2 without my_number and bids as number 1 with it.

--- a/src/main.rs
+++ b/src/main.rs
@@ -122,8 +122,9 @@
     let numbers = numbers_of_hosts;
     let duties = duties(&config, &facade, clock, &counters, &numbers)?;
     let me = config.peer_listen.filter(|_| duties.is_some());
-    if let Some((listen, all)) = others.or(me.map(|me| (me, config.peers.clone()))) {
-        let peers = Peers::new(listen, all).await?;
+    if let Some(listen) = others.or(me) {
+        let place = config.place().ok_or("peers: this gateway is none of them")?;
+        let peers = Peers::new(listen, place, config.peers.clone()).await?;
         tasks.spawn_local(peers.talk(facade.clone(), clock, counters.clone(), duties.clone()));
     }
     // Held here also where nobody listens: the row of calls must not end.
@@ -245,10 +246,11 @@
     numbers: &Rc<RefCell<BTreeMap<String, u32>>>,
 ) -> Result<Option<Rc<Duties>>, String> {
     let Some(set) = &config.operator.ownership else { return Ok(None) };
-    let listen = config.peer_listen.ok_or("ownership: the configuration names no peer_listen")?;
-    let me = config.peers.iter().position(|peer| *peer == listen);
-    let settings =
-        set.settings(me.ok_or("ownership: peer_listen is none of the peers")?, config.peers.len())?;
+    if config.peer_listen.is_none() {
+        return Err("ownership: the configuration names no peer_listen".into());
+    }
+    let me = config.place().ok_or("ownership: this gateway is none of the peers")?;
+    let settings = set.settings(me, config.peers.len())?;
     let elector = settings.electors.contains(&settings.me);
     let now = clock.now();
     let mut office =
@@ -265,8 +267,8 @@
     Ok(Some(Duties::new(office, shares, set.secret, facade, clock, counters, numbers)))
 }
 
-/// A keeper of sessions with the classes that carry them, and where to exchange marks.
-type Kept = (Option<(Keeper, Vec<usize>)>, Option<(SocketAddr, Vec<SocketAddr>)>);
+/// A keeper of sessions with the classes that carry them, and where marks of others are heard.
+type Kept = (Option<(Keeper, Vec<usize>)>, Option<SocketAddr>);
 
 /// The sessions that the operator has switched on, or else what the deployment asks for by itself: marks of this
 /// instance's own answers, since its start.
@@ -277,10 +279,9 @@
         let mut exchange = None;
         if set.peers {
             let listen = config.peer_listen.ok_or("sessions: the configuration names no peer_listen")?;
-            let me = config.peers.iter().position(|peer| *peer == listen);
-            let me = me.ok_or("sessions: peer_listen is none of the peers")?;
+            let me = config.place().ok_or("sessions: this gateway is none of the peers")?;
             (settings.me, settings.instances) = (me as u16, config.peers.len().min(u16::MAX.into()) as u16);
-            exchange = Some((listen, config.peers.clone()));
+            exchange = Some(listen);
         }
         return Ok((Some((Keeper::new(settings, now).map_err(refused)?, places)), exchange));
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -76,6 +76,13 @@
 }
 
 impl Config {
+    /// This gateway's place among the peers. Where `peers` names other addresses than those that they listen at (each is
+    /// reached by a path of its own), the settings tell it: peers are in the order of their numbers.
+    pub fn place(&self) -> Option<usize> {
+        let listed = self.peers.iter().position(|peer| Some(*peer) == self.peer_listen);
+        listed.or(self.info.number().filter(|number| *number < self.peers.len()))
+    }
+
     /// Reads the environment through `var` and the file that `GW_CONFIG` names. What the environment sets
     /// goes before the file. The cause of a failure is one plain sentence.
     pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -16,14 +16,16 @@
     socket: UdpSocket,
     /// One address for each, in the order of their numbers.
     all: Vec<SocketAddr>,
-    me: SocketAddr,
+    /// This one's number.
+    me: usize,
 }
 
 impl Peers {
-    /// Listens at this address, which is one of all.
-    pub async fn new(me: SocketAddr, all: Vec<SocketAddr>) -> Result<Peers, String> {
-        let socket = UdpSocket::bind(me).await;
-        let socket = socket.map_err(|cause| format!("cannot listen to other instances at {me}: {cause}"))?;
+    /// Listens at this address, as the one of this number among all.
+    pub async fn new(listen: SocketAddr, me: usize, all: Vec<SocketAddr>) -> Result<Peers, String> {
+        let socket = UdpSocket::bind(listen).await;
+        let socket =
+            socket.map_err(|cause| format!("cannot listen to other instances at {listen}: {cause}"))?;
         Ok(Peers { socket, all, me })
     }
 
@@ -41,7 +43,7 @@
         loop {
             let (told, next) = facade.tell(clock.now());
             for datagram in &told {
-                for other in self.all.iter().filter(|other| **other != self.me) {
+                for (_, other) in self.all.iter().enumerate().filter(|(number, _)| *number != self.me) {
                     counters.told.add();
                     let _ = self.socket.try_send_to(datagram, *other);
                 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -14,6 +14,8 @@
     granularity_us: Time,
     #[serde(default)]
     membership_mode: String,
+    #[serde(default)]
+    my_number: Option<usize>,
     obligations: Obligations,
     #[serde(default)]
     penalties: Penalties,
@@ -117,6 +119,11 @@
 }
 
 impl Info {
+    /// This gateway's number among those of its tier, from 0, if the settings tell it.
+    pub fn number(&self) -> Option<usize> {
+        self.my_number
+    }
+
     /// The clock time that positions are counted from where they are not Unix times.
     pub fn origin(&self) -> Time {
         self.family_info.origin_time_us
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -359,3 +359,35 @@
     fleet.gateway(1).wait_for("share_lent=", |lent| lent == 0);
     assert_eq!(kinds(&fleet.gateway(1).client().ask(&select("a", "view", 20000))), "TDCZ");
 }
+
+// On the platform each gateway reaches the others by paths of their own, so that none of `peers` is the address at which it
+// listens: its number says which of them it is.
+#[test]
+fn a_gateway_that_is_listed_under_another_address_is_told_by_its_number() {
+    let stage = Stage::new(124).operator(FILE);
+    let heard = UdpSocket::bind("127.77.124.7:0").expect("a free port");
+    let other = UdpSocket::bind("127.77.124.7:0").expect("a free port");
+    heard.set_read_timeout(Some(Duration::from_secs(30))).expect("a limit");
+    let free = UdpSocket::bind("127.77.124.8:0").expect("a free port");
+    let listen = free.local_addr().expect("an address");
+    drop(free);
+    let [heard_at, other_at] = [&heard, &other].map(|one| one.local_addr().expect("an address"));
+    let peers =
+        format!("{{\"peer_listen\":\"{listen}\",\"peers\":[\"{heard_at}\",\"{other_at}\",\"{heard_at}\"],");
+    let config = stage.config().replacen('{', &peers, 1);
+    let (code, log) = stage.start_with(&config).ended();
+    assert_eq!(code, Some(2));
+    assert!(log.contains("this gateway is none of the peers"), "{log}");
+    let config = config.replacen("\"settings\":{", "\"settings\":{\"my_number\":1,", 1);
+    let gateway = stage.start_with(&config);
+    gateway.line_with("serves at");
+    // As number 1 of three electors it asks the other two.
+    let (mut bytes, fleet) = (
+        [0; 300],
+        Settings { me: 1, gateways: 3, electors: vec![0, 1, 2], lease: 800_000, delay: 40_000, drift: 0.01 },
+    );
+    let (count, _) = heard.recv_from(&mut bytes).expect("it asks");
+    let (from, message) =
+        Message::read(&bytes[..count], fleet.fingerprint(), SECRET).expect("it is of this fleet");
+    assert!(from == 1 && matches!(message, Message::Ask(SCOUT, _)), "{from}: {message:?}");
+}
