Spare two look-ups of a member for each place that is tried

The share-out added a look-up of the group to room(), which is asked for every member of a group.

Change: cold_room() takes the member that its callers have at hand. Decisions are the same.

--- a/crates/policy/src/router/cold.rs
+++ b/crates/policy/src/router/cold.rs
@@ -27,8 +27,7 @@
         (member.credit + rate * (self.now - member.credited_at) as f64 / 1e6).min(most)
     }
 
-    pub(super) fn cold_room(&self, id: MemberId) -> bool {
-        let ready = |m: &Member| self.present_share(m) >= 1.0 || self.cold_credit(m) >= 1.0;
-        self.members.get(&id).is_some_and(ready)
+    pub(super) fn cold_room(&self, member: &Member) -> bool {
+        self.present_share(member) >= 1.0 || self.cold_credit(member) >= 1.0
     }
 }
--- a/crates/policy/src/router/sends.rs
+++ b/crates/policy/src/router/sends.rs
@@ -8,7 +8,7 @@
         let cap =
             if member.strikes >= DOUBTFUL { 1.0 } else { member.limit * self.part(member.group) * share };
         let out = member.out.saturating_sub(member.lost) as f64;
-        out < cap.max(1.0) && self.now >= member.paced_until && self.cold_room(id)
+        out < cap.max(1.0) && self.now >= member.paced_until && self.cold_room(member)
     }
 
     /// May this attempt go out at all? Asked for every send, whatever path wants it.
@@ -44,7 +44,7 @@
                 Need::Bounded(bound) => member.position >= req.mark.max(Some(self.now - bound)).unwrap_or(0),
             };
         // Rule 4: the cold budget.
-        in_time && alone && repeatable && standing && fresh && self.cold_room(id)
+        in_time && alone && repeatable && standing && fresh && self.cold_room(member)
     }
 
     pub(super) fn send(&mut self, seq: u64, id: MemberId) {
