--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -182,7 +182,7 @@
         actions.append(&mut self.actions);
     }
 
-    /// This router's part in the limits of a group's members: the even one, and what it was given or gave away.
+    /// This router's part in the limits of a group's members: the even one, with what was given or lent.
     pub(super) fn part(&self, group: GroupId) -> f64 {
         self.part * self.groups.get(&group).map_or(1.0, |g| g.share.at(self.now))
     }
