Cut requests of a stop by a setting of their own, not by their client's wait

Cause: shortened what a request came with (front.rs: until is at + wait, at most answers_by). Found on rereading; a process test showed it (EZ for TDCZ).

Change: Settings.last, the time by which every request has its answer, told to the module at the stop; the client's wait stays.

Result: the new process test passes, failed before. Without the module's line the test of late requests fails again (25 s).

--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -283,6 +283,13 @@
         Some((place, self.rules.class(place).clone()))
     }
 
+    /// Every request that is taken in from now on has its final answer by this time.
+    pub fn answer_by(&mut self, at: Time) {
+        self.settings.last = at;
+        // They were sound before, and the module makes nothing of this figure.
+        let _ = self.router.follow(whole(&self.settings, &self.rules));
+    }
+
     /// The longest deadline of any class in force.
     pub fn longest(&self) -> Time {
         let deadlines = self.rules.force().iter().map(|place| self.rules.class(*place).deadline);
@@ -306,7 +313,7 @@
         let mut rules = self.rules.clone();
         let classes = std::mem::take(&mut settings.classes);
         rules.follow(now, classes, &used).map_err(|Full| NotTaken::Full)?;
-        settings.scout_every = self.settings.scout_every;
+        (settings.scout_every, settings.last) = (self.settings.scout_every, self.settings.last);
         self.settings = settings;
         self.granularity = self.settings.granularity;
         self.router.follow(whole(&self.settings, &rules)).map_err(NotTaken::Unsound)?;
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -127,6 +127,8 @@
     /// What a request takes on its way here, and its refusal on the way back: half of its time, past which a refusal
     /// unsent is priced, is reckoned by its client.
     pub way: Time,
+    /// Clock time at which every request that is taken in has its final answer, whatever its client would wait.
+    pub last: Time,
     /// Least share of its capacity that a started member has.
     pub cold_from: f64,
     /// Span after which a started member has all of it at the latest.
@@ -174,6 +176,7 @@
             max_wait_hint: 500_000,
             answer_slack: 20_000,
             way: 0,
+            last: Time::MAX,
             cold_from: 0.2,
             cold_for: 10_000_000,
             overload_factor: 4.0,
--- a/crates/policy/src/router/requests.rs
+++ b/crates/policy/src/router/requests.rs
@@ -36,7 +36,7 @@
             class: *class,
             group: *group,
             born: self.now - age.max(0),
-            end: self.now + time_left,
+            end: (self.now + time_left).min(self.set.last),
             half: self.now + (time_left / 2 - self.set.way).max(time_left / 4),
             mark: *floor,
             ..Request::default()
@@ -93,7 +93,7 @@
             let worthless = safe && !out && self.now >= req.born + share_of(class.aim, HOPE);
             // Never sent by half its time, it has little hope here; its client still has time to retry.
             let unsent = req.attempts.iter().all(|a| !a.out && !a.reached);
-            let end = if unsent { req.half } else { req.end };
+            let end = if unsent { req.half.min(req.end) } else { req.end };
             if self.now + 2 * self.set.granularity >= end || worthless {
                 ended.push(*seq);
             }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -44,6 +44,7 @@
         max_wait_hint: 500 * MS,
         answer_slack: 20 * MS,
         way: 0,
+        last: Time::MAX,
         cold_from: 0.15,
         cold_for: 16_000 * MS,
         overload_factor: 4.0,
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -126,6 +126,11 @@
         self.0.desk.borrow().find(now, name, keyed)
     }
 
+    /// Every request that is taken in from now on has its final answer by this time.
+    pub fn answer_by(&self, at: Time) {
+        self.0.desk.borrow_mut().answer_by(at);
+    }
+
     /// The longest deadline of any class in force.
     pub fn longest(&self) -> Time {
         self.0.desk.borrow().longest()
--- a/src/main.rs
+++ b/src/main.rs
@@ -156,7 +156,6 @@
         door,
         open: Gauge::default(),
         ids: RefCell::default(),
-        answers_by: Cell::new(Time::MAX),
     });
     let accepted = front.clone();
     tasks.spawn_local(async move {
@@ -205,7 +204,7 @@
         match life.on(clock.now(), event) {
             Do::Doors if event == Event::Stop => {
                 log::info!("stopping");
-                front.answers_by.set(life.answers_by(facade.longest()));
+                facade.answer_by(life.answers_by(facade.longest()));
                 leaving.iter().for_each(|duties| duties.leave());
             }
             Do::Doors | Do::Wait => {}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -20,7 +20,7 @@
 use petrelgauge_lifecycle::gateway::Door;
 use petrelgauge_sessions::Wallet;
 use socket2::SockRef;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
@@ -60,8 +60,6 @@
     pub open: Gauge,
     /// What clients call their open requests.
     pub ids: RefCell<BTreeSet<Rc<str>>>,
-    /// Whatever is taken in from now on is to be answered by then.
-    pub answers_by: Cell<Time>,
 }
 
 impl Front {
@@ -384,7 +382,7 @@
         let request = Request {
             class: place,
             group: statement.cluster,
-            until: at.saturating_add(wait).min(self.front.answers_by.get()),
+            until: at.saturating_add(wait),
             repeat: statement.repeat,
             at,
             after: statement.after_ms.filter(|_| reads_session).map(|ms| (ms as Time).saturating_mul(1000)),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -178,6 +178,7 @@
             max_wait_hint: if self.bounds.retry_after { self.bounds.max_retry_after_us } else { 0 },
             answer_slack: duties.answer_slack_us,
             way: 0,
+            last: Time::MAX,
             cold_from: duties.cold_from,
             cold_for: duties.cold_us,
             overload_factor: duties.overload_factor,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -475,6 +475,24 @@
     assert!(told.elapsed() < std::time::Duration::from_secs(12), "{:?}", told.elapsed());
 }
 
+// A stop cuts a request's time; that must not make a first try look like a later one whose worth is gone.
+#[test]
+fn a_read_whose_client_waits_long_is_still_served_in_a_stop() {
+    let stage = Stage::new(47);
+    let host = stage.host((0..9).map(|_| Say::Row(b"v")).collect());
+    let stage = stage.list(&[(&host, "up", "primary")]);
+    let config = stage.config().replace("\"late_share\":0.2", "\"late_share\":0.0");
+    let gateway = stage.start_as(&config);
+    let mut client = gateway.client();
+    for place in 0..8 {
+        let text = select("a", "view", 30_000).replace("9b1f", &format!("9c{place}0"));
+        assert_eq!(kinds(&client.ask(&text)), "TDCZ");
+    }
+    gateway.signal("TERM");
+    gateway.line_with("stopping");
+    assert_eq!(kinds(&client.ask(&select("b", "view", 30_000))), "TDCZ");
+}
+
 #[test]
 fn counters_come_on_request() {
     let gateway = Stage::new(16).start();
