Take grants for all groups that are shared out, and refuse spans that share nothing

Cause: a part remembered 16 answers (part.rs, MOST), and 256 groups make 24 of them in a round: the grants for the first ones were dropped as unknown, though the owner counted them as given. The new test showed 88 of 256 groups without any. With a drift of 18% and shares on, what is lent ends before what is given would: all of it lay idle, without a word.

Ruled out: the sum; both faults give less than there is.

Change: answers of as many rounds as an owner knows are remembered, for all groups; a record with such spans is refused with its place. The pool's bound is stated.

Both new tests were seen to fail with their bug.

--- a/crates/ownership/src/shares/mod.rs
+++ b/crates/ownership/src/shares/mod.rs
@@ -18,7 +18,7 @@
 //! or out of order, whoever stalls, and also while two gateways both take themselves for the owner: a pledge is made to
 //! one term, and no other is made while it lasts.
 //!
-//! Who hears nothing has its even part, which was never given away: with all links cut everything is as without this.
+//! Who hears nothing has its even part, which was never given away: with all links cut that is so after a pledge's life.
 //! Who starts has forgotten its pledges; it uses no more than the least part, and lends nothing, for a pledge's life.
 
 mod part;
@@ -44,6 +44,8 @@
 pub const MOST_LINES: usize = 11;
 /// Groups that are shared out (count); the others keep even parts.
 pub const MOST_GROUPS: usize = 256;
+/// Rounds whose time an owner knows (count): answers to older ones lend nothing any more.
+const MOST_ROUNDS: usize = 4;
 /// Rates told at most (thousandths of a request a second).
 pub const MOST_RATE: u32 = 1 << 30;
 /// What a gateway keeps beyond what its share of the traffic needs, so that a burst finds it there (ratio).
@@ -83,6 +85,12 @@
         (life as f64 * (1.0 + self.drift) / (1.0 - self.drift)).ceil() as Time
     }
 
+    /// Whether what is lent in a round lasts for what is given in it: else clocks are too far off, or datagrams too slow,
+    /// for this lease, and all that is lent would lie idle.
+    pub fn shares_last(&self) -> bool {
+        self.pledge_counted() >= self.lease / 16 + 2 * self.delay + self.grant_counted()
+    }
+
     /// Between two rounds of an owner.
     pub fn round_every(&self) -> Time {
         self.lease / 4
--- a/crates/ownership/src/shares/part.rs
+++ b/crates/ownership/src/shares/part.rs
@@ -1,12 +1,14 @@
 //! One gateway's part: what it has lent and what it was given, and for how long.
 
-use super::{Line, Milli, HEADROOM, MOST_GIVEN, MOST_GROUPS, MOST_LENT, MOST_LINES, MOST_RATE};
+use super::{Line, Milli, HEADROOM, MOST_GIVEN, MOST_GROUPS, MOST_LENT, MOST_LINES, MOST_RATE, MOST_ROUNDS};
 use crate::{Settings, Term};
 use petrelgauge_policy::{mutant, GroupId, Mutant, Share, Time};
 use std::collections::{BTreeMap, VecDeque};
 
-/// Pledges, grants and askings of a group that are remembered (count): more rounds than a pledge lives for.
+/// Pledges and grants of a group that are remembered (count): more rounds than a pledge lives for.
 const MOST: usize = 16;
+/// Answers whose grants are still taken (count): those for all groups, of as many rounds as an owner knows.
+const MOST_ASKED: usize = MOST_ROUNDS * MOST_GROUPS.div_ceil(MOST_LINES);
 
 #[derive(Clone, Copy, Debug)]
 struct Pledge {
@@ -116,7 +118,7 @@
         let numbered = |lines: &[Line]| {
             self.number = self.number.wrapping_add(1);
             self.asked.push_back((self.number, now));
-            if self.asked.len() > MOST {
+            if self.asked.len() > MOST_ASKED {
                 self.asked.pop_front();
             }
             Answer { term, round, number: self.number, lines: lines.to_vec() }
--- a/crates/ownership/src/shares/pool.rs
+++ b/crates/ownership/src/shares/pool.rs
@@ -1,12 +1,10 @@
 //! What the owner of the share-out has: who lent it what and until when, and whom it gave.
 
-use super::{Line, Milli, MOST_GROUPS, MOST_LINES};
+use super::{Line, Milli, MOST_GROUPS, MOST_LINES, MOST_ROUNDS};
 use crate::{Gateway, Settings, Term};
 use petrelgauge_policy::{mutant, GroupId, Mutant, Time};
 use std::collections::{BTreeMap, VecDeque};
 
-/// Rounds whose time is known (count): answers to older ones lend nothing any more.
-const MOST_ROUNDS: usize = 4;
 /// Pledges, and grants, of one gateway for one group that are counted (count): one a round, for as long as they live.
 const MOST: usize = 8;
 
@@ -44,7 +42,8 @@
     ratio: f64,
 }
 
-/// What an owner has to give under one term.
+/// What an owner has to give under one term. It holds an entry for each gateway and group that was heard of lately, with
+/// at most [`MOST_GROUPS`] groups; whoever carries datagrams lets none through from a number that no gateway has.
 #[derive(Clone, Debug)]
 pub struct Pool {
     settings: Settings,
--- a/crates/ownership/tests/shares.rs
+++ b/crates/ownership/tests/shares.rs
@@ -414,3 +414,73 @@
         assert_eq!(Message::read(&bytes, u32::MAX, u64::MAX), Ok((u16::MAX, message)));
     }
 }
+
+// The owner's and the asker's clocks at the slow end, the lender's at the fast one: what is lent ends soonest and what is
+// given lasts longest. Whenever the owner hears of either, and whenever the grant comes.
+#[test]
+fn however_far_clocks_are_off_a_grant_is_over_before_what_covers_it() {
+    let spans = settings(0, 3);
+    let [slow, fast] =
+        [1.0 - spans.drift, 1.0 + spans.drift].map(|pace| move |at: Time| (at as f64 * pace) as Time);
+    let (start, mut given_at_all) = (10 * LEASE, 0);
+    let rates = |rate| BTreeMap::from([(GROUP, rate)]);
+    for step in 0..80 {
+        for late in [0, LEASE / 4, LEASE / 2, LEASE] {
+            for flight in [0, LEASE / 4, LEASE / 2] {
+                let (mut lender, mut asker) =
+                    (Part::new(spans.clone(), 0, 1), Part::new(spans.clone(), 0, 50));
+                let mut pool = Pool::new(spans.clone(), 1);
+                let (round, _) = pool.open(slow(start) - 1);
+                for (from, rate, asks) in [(0, 100, 0), (1, 1_000, 500)] {
+                    pool.hear(slow(start) - 1, from, round, &[Line { group: GROUP, rate, asks }]);
+                }
+                let (round, means) = pool.open(slow(start));
+                lender.hear_round(fast(start), 1, round, &means[0]);
+                let answer = lender.due(fast(start), &rates(100)).remove(0);
+                assert_eq!(answer.lines[0].asks, -MOST_LENT);
+                pool.hear(slow(start + late), 0, round, &answer.lines);
+                let asked = start + late + step * LEASE / 40;
+                let (round, means) = pool.open(slow(asked));
+                asker.hear_round(slow(asked), 1, round, &means[0]);
+                let answer = asker.due(slow(asked), &rates(1_000)).remove(0);
+                let given = pool.hear(slow(asked), 1, round, &answer.lines);
+                given_at_all += given.len();
+                let comes = asked + flight;
+                asker.hear_grant(slow(comes), answer.number, &given);
+                for at in (comes..comes + 2 * LEASE).step_by(LEASE as usize / 400) {
+                    let more = asker.share(slow(at), GROUP).at(slow(at)) - 1.0;
+                    let less = lender.share(fast(at), GROUP).at(fast(at)) - 1.0;
+                    assert!(
+                        more + less < 1e-6,
+                        "asked at {step}, late {late}, flight {flight}: {more} of {less}"
+                    );
+                }
+            }
+        }
+    }
+    assert!(given_at_all > 50, "{given_at_all} grants");
+}
+
+// Each datagram has eleven of them, and every one of these must be known again when it is granted.
+#[test]
+fn grants_for_as_many_groups_as_are_shared_out_are_all_taken() {
+    let spans = settings(0, 3);
+    let (mut lender, mut asker) = (Part::new(spans.clone(), 0, 1), Part::new(spans.clone(), 0, 50));
+    let mut pool = Pool::new(spans, 1);
+    let groups = petrelgauge_ownership::shares::MOST_GROUPS as GroupId;
+    let rates = |rate: u32| (0..groups).map(|group| (group, rate)).collect::<BTreeMap<_, _>>();
+    let mut now = 10 * LEASE;
+    for _ in 0..4 {
+        let (round, pieces) = pool.open(now);
+        for (from, part, rate) in [(0, &mut lender, 100), (1, &mut asker, 1_000)] {
+            pieces.iter().for_each(|means| part.hear_round(now, 1, round, means));
+            // All are sent before the first is answered.
+            let answers = part.due(now, &rates(rate));
+            let given: Vec<_> = answers.iter().map(|one| pool.hear(now, from, round, &one.lines)).collect();
+            answers.iter().zip(&given).for_each(|(one, given)| part.hear_grant(now, one.number, given));
+        }
+        now += LEASE / 4;
+    }
+    let short = (0..groups).filter(|group| asker.share(now, *group).at(now) < 1.4).count();
+    assert_eq!(short, 0, "groups of {groups} for which nothing is given");
+}
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -156,6 +156,9 @@
         return Err(record.error(format!("duties are \"scout\" and \"shares\", not {other:?}")));
     }
     let [scout, shares] = ["scout", "shares"].map(|one| duties.iter().any(|name| name == one));
+    if shares && !spans.shares_last() {
+        return Err(record.error("ownership: shares need a lower drift, or a lease of more delays"));
+    }
     record.end()?;
     Ok(Ownership { electors, spans, secret, scout, shares })
 }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -241,6 +241,7 @@
         ("secret: \"zz\"", "hexadecimal"),
         ("electors: \"a\"", "a whole number"),
         ("duties: [\"scouts\"]", "duties are"),
+        ("drift_percent: 18\n  duties: [\"shares\"]", "shares need a lower drift"),
     ];
     let stage = Stage::new(110);
     let config = stage.config();
