Ask for the whole list when a line of it cannot be used; read lists of any layout

Cause, read off the code and then forced: - Follower::line() counted a line that serde refused and went on with the next: the drain that it carried was never heard of (src/net/discovery.rs, `Err(cause) => bad_lists.add()`). - Lines::body() cut at each line end, so of a list over several lines no part was one. - watch() returned on the end of the stream without looking at Lines::line: a last line without its end was dropped. - The 3 s of silence began anew with every byte, so bytes that make no line kept a dead watch for good. - A list of an earlier run of a host moved or removed its address (Hosts::place, remove) while the module passed it over (router/list.rs, `member.started > entry.started`). - Changes of a lower revision than the one before on the same watch were applied.

Ruled out: that the agent leaves a call for good that it got while discovery was down. The pause while nobody answers is 0.8 s at most, before 1.6 s, of the 2 s in which what comes with the return binds.

Change: crates/lifecycle/src/watch.rs says what is held and owed; the whole list is called for beside the watch. The way not taken: ending the watch at the first bad line, which a source that spoils each first line would never pass.

--- a/crates/lifecycle/src/backoff.rs
+++ b/crates/lifecycle/src/backoff.rs
@@ -15,6 +15,9 @@
 /// and has to be heeded (2 s).
 const FIRST: Time = 200_000;
 const DOUBLINGS: u32 = 2;
+/// The longest mean while nobody answers (microseconds): what the agent gets when discovery returns counts at once and
+/// binds 2 s later, and a return may fall into the beginning of a pause.
+const UNANSWERED: Time = 400_000;
 /// After a refusal, the part of the mean for each gateway (microseconds): together they call so many times a second.
 const EACH: Time = 25_000;
 /// The longest mean after a refusal (microseconds), so that no pause is over twice that.
@@ -53,7 +56,7 @@
     pub fn pause(&mut self, cause: Cause) -> Time {
         let (mean, most) = match cause {
             Cause::Refused => (self.crowded, LONGEST),
-            Cause::Lost => (FIRST, FIRST << DOUBLINGS),
+            Cause::Lost => (FIRST, UNANSWERED),
         };
         let mean = mean.saturating_mul(1 << self.failures.min(DOUBLINGS)).min(most);
         self.failures = self.failures.saturating_add(1);
@@ -110,6 +113,17 @@
         }
     }
 
+    // With a pause of up to 1.6 s, 0.4 s were left for the way and the first line.
+    #[test]
+    fn however_long_nobody_answered_a_pause_leaves_time_to_heed_what_comes_with_the_return() {
+        for seed in 0..50 {
+            let mut one = Backoff::new(300, seed);
+            let pauses: Vec<Time> = (0..40).map(|_| one.pause(Cause::Lost)).collect();
+            assert!(pauses.iter().all(|pause| *pause < 800_000), "{pauses:?}");
+            assert!(pauses.iter().any(|pause| *pause > 400_000), "they do grow");
+        }
+    }
+
     #[test]
     fn pauses_are_bounded_and_differ_between_gateways() {
         for gateways in [1, 5, 100, u32::MAX] {
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `gateway.rs` | the gateway | serving, turning, empty, last clients, closing, ended |
 //! | `ops.rs` | calls of the staff, and what is answered | |
 //! | `verdict.rs` | what a host's answer says of an attempt | |
+//! | `watch.rs` | what is held of discovery's list, and what is still owed by it | |
 //! | `ending.rs` | every way in which a connection or an attempt can end | |
 //!
 //! **Promises**, each checked by the exhaustive models of `petrelgauge-models`: an attempt is reported once, after its
@@ -47,3 +48,4 @@
 pub mod rest;
 pub mod rules;
 pub mod verdict;
+pub mod watch;
--- /dev/null
+++ b/crates/lifecycle/src/watch.rs
@@ -0,0 +1,138 @@
+//! What is held of discovery's list, what is asked for next, and whether something is still owed by it.
+//!
+//! A line that cannot be used carried a change that no later line repeats: from then on the whole list is **owed**, and
+//! asked for by a call beside the watch, which goes on. So it is after a revision that goes back on one watch. A watch
+//! that is opened while the list is owed asks for all of it.
+//!
+//! ```
+//! use petrelgauge_lifecycle::watch::Holding;
+//!
+//! let mut held = Holding::default();
+//! assert!(held.news(7, true) && held.news(8, false));
+//! assert_eq!(held.after(), Some(8));
+//! held.spoilt();
+//! assert!(held.news(10, false), "what can be used is used");
+//! assert_eq!((held.owed(), held.after()), (true, None));
+//! assert!(held.called(10));
+//! assert_eq!((held.owed(), held.after()), (false, Some(10)));
+//! ```
+
+use petrelgauge_policy::Time;
+
+/// Discovery writes an empty line every 2 s; without a line for this span (microseconds), a watch is taken for dead.
+/// What it has to tell counts as told after 6 s, so little of that may be spent on waiting. Bytes that make no line are
+/// no sign of life.
+pub const SILENCE: Time = 3_000_000;
+/// Lines that could not be used, or a list that is long in coming, are called for again after this span at the earliest
+/// (microseconds): what is owed binds in 8 s.
+pub const AGAIN: Time = 500_000;
+
+/// What is held of the list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Holding {
+    revision: Option<u64>,
+    /// Of the present watch.
+    newest: Option<u64>,
+    owed: bool,
+    /// The last whole list that was called for was older than what is held.
+    older: bool,
+}
+
+impl Holding {
+    /// A watch is opened.
+    pub fn opened(&mut self) {
+        self.newest = None;
+    }
+
+    /// Another source is asked from now on. Whether it counts its revisions alike is not known.
+    pub fn moved(&mut self) {
+        *self = Holding { owed: self.owed, ..Holding::default() };
+    }
+
+    /// The revision after which changes are asked for; none if the whole list is.
+    pub fn after(&self) -> Option<u64> {
+        self.revision.filter(|_| !self.owed)
+    }
+
+    /// No list was held so far, or not from this source.
+    pub fn is_new(&self) -> bool {
+        self.revision.is_none()
+    }
+
+    /// The whole list is owed.
+    pub fn owed(&self) -> bool {
+        self.owed
+    }
+
+    /// Something came that could not be used.
+    pub fn spoilt(&mut self) {
+        self.owed = true;
+    }
+
+    /// A list came on the watch. Whether it is to be used: changes that are older than others before them are not.
+    pub fn news(&mut self, revision: u64, whole: bool) -> bool {
+        if !whole && self.newest.is_some_and(|newest| revision < newest) {
+            self.owed = true;
+            return false;
+        }
+        self.hold(revision, whole);
+        true
+    }
+
+    /// A whole list came that was called for beside the watch. Whether it is to be used: one that is older than what
+    /// the watch brought meanwhile is called for again, and is used if it is so still.
+    pub fn called(&mut self, revision: u64) -> bool {
+        let older = self.revision.is_some_and(|held| revision < held);
+        if older && !std::mem::replace(&mut self.older, true) {
+            return false;
+        }
+        self.hold(revision, true);
+        true
+    }
+
+    fn hold(&mut self, revision: u64, whole: bool) {
+        (self.revision, self.newest) = (Some(revision), Some(revision));
+        if whole {
+            (self.owed, self.older) = (false, false);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn changes_that_go_back_are_not_used_and_the_whole_list_is_owed() {
+        let mut held = Holding::default();
+        assert!(held.news(41, true) && held.news(42, false));
+        assert!(!held.news(40, false));
+        assert_eq!((held.owed(), held.after()), (true, None));
+        // A source that has begun anew says so with a whole list, whatever its number.
+        assert!(held.news(3, true));
+        assert_eq!((held.owed(), held.after()), (false, Some(3)));
+    }
+
+    #[test]
+    fn a_call_that_was_overtaken_by_the_watch_is_made_again_and_a_source_that_began_anew_is_believed() {
+        let mut held = Holding::default();
+        held.spoilt();
+        assert!(held.news(9, false));
+        assert!(!held.called(8));
+        assert!(held.owed());
+        assert!(held.called(8), "twice the same: so it stands there");
+        assert_eq!((held.owed(), held.after()), (false, Some(8)));
+    }
+
+    #[test]
+    fn what_is_owed_stays_owed_through_a_move_and_through_changes() {
+        let mut held = Holding::default();
+        assert!(held.news(5, true));
+        held.spoilt();
+        held.moved();
+        held.opened();
+        assert!(held.owed() && held.is_new());
+        assert!(held.news(6, false) && held.owed());
+        assert!(held.news(7, true) && !held.owed());
+    }
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,28 +4,24 @@
 use crate::net::clock::Clock;
 use crate::net::counters::Counters;
 use crate::net::hosts::{Hosts, Site};
+pub use crate::net::lines::Lines;
+use crate::net::lines::{Text, REFUSED};
+use crate::net::source::{call, open, Answer};
 use crate::{Entry, MemberId, Standing, Time};
 use petrelgauge_lifecycle::backoff::{Backoff, Cause};
+use petrelgauge_lifecycle::watch::{Holding, AGAIN};
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-/// Discovery writes an empty line every 2 s; silent for this span (microseconds), the watch is taken for
-/// dead. What it has to tell counts as told after 6 s, so little of that may be spent on waiting.
-const SILENCE: Time = 3_000_000;
 /// Span in which a host that was removed keeps its number (microseconds). Nothing of it is out by then, and
 /// the decisions remember it no longer.
 const REMEMBERED: Time = 60_000_000;
-/// What is said of a call that was answered, but not with a list.
-const REFUSED: &str = "its status is not 200";
-/// Longest head and longest line taken from discovery.
-const MOST_HEAD: usize = 16 * 1024;
-const MOST_LINE: usize = 4 * 1024 * 1024;
 
 /// A list as discovery writes it: whole, or what changed.
 #[derive(Debug, Clone, Deserialize)]
@@ -52,6 +48,20 @@
     replication: Option<String>,
 }
 
+impl Row {
+    fn started(&self) -> Time {
+        self.up_since_ms.saturating_mul(1000).max(0)
+    }
+}
+
+impl List {
+    /// Half a list is none: nothing of it is used if a host that runs has no address. Gives the first such.
+    fn unusable(&self) -> Option<&str> {
+        let mut rows = self.members.iter();
+        rows.find(|row| row.phase != Phase::Removed && row.host_port.is_none()).map(|row| row.id.as_str())
+    }
+}
+
 fn one() -> f64 {
     1.0
 }
@@ -73,7 +83,7 @@
     /// The decisions know hosts by number; discovery's names stay the same at every gateway and restart.
     numbers: BTreeMap<String, Known>,
     next: MemberId,
-    revision: Option<u64>,
+    holding: Holding,
     backoff: Backoff,
     /// It has spoken since the start.
     told: Rc<Cell<bool>>,
@@ -84,6 +94,8 @@
 /// A host that discovery named.
 struct Known {
     id: MemberId,
+    /// When it last started: what is told of an earlier run is old.
+    started: Time,
     /// Since when it is named no more.
     gone: Option<Time>,
 }
@@ -102,18 +114,27 @@
     ) -> Follower {
         let next = given.iter().map(|(_, id)| id.wrapping_add(1)).max().unwrap_or(0);
         let gone = Some(clock.now());
-        let numbers = given.into_iter().map(|(name, id)| (name, Known { id, gone })).collect();
-        let (revision, named) = (None, Rc::default());
+        let numbers = given.into_iter().map(|(name, id)| (name, Known { id, started: 0, gone })).collect();
+        let (holding, named) = (Holding::default(), Rc::default());
         let told = Rc::default();
         let mut follower =
-            Follower { facade, hosts, counters, clock, numbers, next, revision, backoff, told, named };
+            Follower { facade, hosts, counters, clock, numbers, next, holding, backoff, told, named };
         if let Some(list) = known {
             // Whatever it says of itself, it is all that is known: there is no older list to change.
-            follower.take(List { complete: true, ..list });
+            follower.start_from(List { complete: true, ..list });
         }
         follower
     }
 
+    fn start_from(&mut self, list: List) {
+        if let Some(id) = list.unusable() {
+            self.counters.bad_lists.add();
+            return log::warn!("the list of the configuration cannot be used: {id} has no address");
+        }
+        self.holding.news(list.revision, true);
+        self.take(list);
+    }
+
     /// The number of each host, as it is now.
     pub fn numbers(&self) -> Rc<RefCell<BTreeMap<String, MemberId>>> {
         self.named.clone()
@@ -136,7 +157,7 @@
                 Ok(()) = addresses.changed() => {
                     // Whether the next source counts its revisions alike is not known: it is asked for the
                     // whole list. Until it speaks, the list stays as it is.
-                    self.revision = None;
+                    self.holding.moved();
                     last.clear();
                     continue;
                 }
@@ -151,88 +172,118 @@
             log::debug!("the watch of discovery ended: {last}; the next in {pause} us");
             tokio::select! {
                 () = clock.sleep_until(clock.now() + pause) => {}
-                Ok(()) = addresses.changed() => {
-                    self.revision = None;
-                }
+                Ok(()) = addresses.changed() => self.holding.moved(),
             }
         }
     }
 
     async fn watch(&mut self, address: SocketAddr) -> Result<(), String> {
         let clock = self.clock;
-        let after = self.revision.map(|revision| format!("&after={revision}")).unwrap_or_default();
-        let request = format!("GET /discovery/hosts?watch=1{after} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-        let opened = async {
-            let mut stream = TcpStream::connect(address).await?;
-            stream.write_all(request.as_bytes()).await?;
-            Ok::<TcpStream, std::io::Error>(stream)
-        };
-        let mut stream = tokio::select! {
-            stream = opened => stream.map_err(|cause| cause.to_string())?,
-            () = clock.sleep_until(clock.now() + SILENCE) => return Err("it does not come up".into()),
-        };
-        let mut lines = Lines::default();
-        let mut bytes = vec![0; 16 * 1024];
-        loop {
-            let count = tokio::select! {
-                count = stream.read(&mut bytes) => count.map_err(|cause| cause.to_string())?,
-                () = clock.sleep_until(clock.now() + SILENCE) => return Err("it fell silent".into()),
+        let after = self.holding.after().map(|revision| format!("&after={revision}")).unwrap_or_default();
+        self.holding.opened();
+        let mut answer = Answer::default();
+        let mut stream = open(address, &format!("?watch=1{after}"), clock).await?;
+        // A call for the whole list beside the watch, while it is owed.
+        let mut call: Option<Call> = None;
+        let cause = loop {
+            let read = tokio::select! {
+                read = answer.read(&mut stream, clock) => read,
+                called = finished(&mut call) => {
+                    call = None;
+                    if let Err(cause) = called.and_then(|list| self.called(list)) {
+                        log::debug!("a call for the whole list: {cause}");
+                        call = self.call(address);
+                    }
+                    continue;
+                }
             };
-            if count == 0 {
-                return Err("discovery closed it".into());
-            }
-            let mut got = Vec::new();
-            let read = lines.feed(&bytes[..count], &mut got);
-            if lines.began() {
+            if answer.lines.began() {
                 self.backoff.worked();
             }
-            got.iter().for_each(|line| self.line(line));
+            let texts = std::mem::take(&mut answer.texts);
+            if texts.into_iter().filter(|text| !self.text(text)).count() > 0 && call.is_none() {
+                call = self.call(address);
+            }
             if let Err(cause) = read {
-                self.counters.bad_lists.add();
-                return Err(cause.into());
+                break cause;
             }
+        };
+        if cause.flawed {
+            self.counters.bad_lists.add();
         }
+        Err(cause.text)
+    }
+
+    /// A call for the whole list, after a pause, if it is owed.
+    fn call(&mut self, address: SocketAddr) -> Option<Call> {
+        let from = self.clock.now() + AGAIN;
+        self.holding.owed().then(|| Box::pin(call(address, from, self.clock)) as Call)
     }
 
-    fn line(&mut self, line: &[u8]) {
-        if line.trim_ascii().is_empty() {
-            return;
+    /// Uses what a call brought, unless the watch has brought what is newer.
+    fn called(&mut self, list: List) -> Result<(), String> {
+        let usable = list.complete && list.unusable().is_none();
+        if !usable || !self.holding.called(list.revision) {
+            return Err(format!("revision {}, usable: {usable}", list.revision));
         }
-        match serde_json::from_slice::<List>(line) {
+        self.take(list);
+        Ok(())
+    }
+
+    /// Uses a list that came on the watch. False if it cannot be used: one bad line must not take the good list away,
+    /// nor may what it carried be lost.
+    fn text(&mut self, text: &Text) -> bool {
+        let read = match text {
+            Text::Whole(text) => serde_json::from_slice::<List>(text).map_err(|cause| cause.to_string()),
+            Text::Broken => Err("it breaks off".into()),
+        };
+        let whole = read.and_then(|list| match list.unusable() {
+            Some(id) => Err(format!("{id} has no address")),
+            None => Ok(list),
+        });
+        let flaw = match whole {
             Ok(list) => {
-                self.take(list);
                 self.told.set(true);
+                if self.holding.is_new() && !self.numbers.is_empty() {
+                    let List { revision, complete, .. } = list;
+                    log::info!("the new discovery begins with revision {revision}, whole: {complete}");
+                }
+                if self.holding.news(list.revision, list.complete) {
+                    self.take(list);
+                    return true;
+                }
+                format!("revision {} is older than the one before it", list.revision)
             }
-            // One bad line must not take the good list away.
-            Err(cause) => {
-                self.counters.bad_lists.add();
-                log::warn!("news from discovery cannot be used: {cause}");
-            }
-        }
+            Err(cause) => cause,
+        };
+        self.holding.spoilt();
+        self.counters.bad_lists.add();
+        log::warn!("news from discovery cannot be used, and the whole list is asked for: {flaw}");
+        false
     }
 
-    fn take(&mut self, list: List) {
-        // Half a list is none: nothing of it is used if a host that runs has no address.
-        if let Some(row) =
-            list.members.iter().find(|row| row.phase != Phase::Removed && row.host_port.is_none())
-        {
-            self.counters.bad_lists.add();
-            return log::warn!("news from discovery cannot be used: {} has no address", row.id);
-        }
+    fn take(&mut self, mut list: List) {
         self.counters.lists.add();
-        if self.revision.is_none() && !self.numbers.is_empty() {
-            log::info!("the new discovery begins with revision {}, whole: {}", list.revision, list.complete);
-        }
-        self.revision = Some(list.revision);
+        // The decisions pass over what is told of an earlier run of a host, and so does whoever connects to it.
+        let known = |row: &Row| self.numbers.get(&row.id).map_or(0, |known| known.started);
+        let stale: BTreeSet<String> =
+            list.members.iter().filter(|row| row.started() < known(row)).map(|row| row.id.clone()).collect();
+        let named_still = list.members.iter().filter(|row| stale.contains(&row.id));
+        let still: BTreeSet<MemberId> = named_still.map(|row| self.numbers[&row.id].id).collect();
+        list.members.retain(|row| !stale.contains(&row.id));
         let mut entries = Vec::new();
         let now = self.clock.now();
         for row in &list.members {
             let next = self.next;
-            let known = self.numbers.entry(row.id.clone()).or_insert_with(|| Known { id: next, gone: None });
-            let id = known.id;
+            let known = self.numbers.entry(row.id.clone()).or_insert_with(|| Known {
+                id: next,
+                started: 0,
+                gone: None,
+            });
+            let (id, started) = (known.id, row.started());
+            known.started = started;
             self.next = next.max(id.wrapping_add(1));
             known.gone = (row.phase == Phase::Removed).then_some(known.gone.unwrap_or(now));
-            let started = row.up_since_ms.saturating_mul(1000).max(0);
             log::debug!(
                 "list host={id} name={} cluster={} zone={} phase={:?} up_since_ms={} role={} revision={}",
                 row.id,
@@ -264,7 +315,7 @@
             });
         }
         if list.complete {
-            let named: BTreeSet<MemberId> = entries.iter().map(|entry| entry.member).collect();
+            let named = entries.iter().map(|entry| entry.member).chain(still).collect::<BTreeSet<MemberId>>();
             self.hosts.keep_only(&|id| named.contains(&id));
             let unnamed = self.numbers.values_mut().filter(|known| !named.contains(&known.id));
             unnamed.for_each(|known| known.gone = known.gone.or(Some(now)));
@@ -278,117 +329,12 @@
     }
 }
 
-/// Reads an HTTP/1.1 answer and cuts its body into lines.
-#[derive(Debug, Default)]
-pub struct Lines {
-    raw: Vec<u8>,
-    part: Part,
-    line: Vec<u8>,
-}
-
-#[derive(Debug, Default, Clone, Copy, PartialEq)]
-enum Part {
-    #[default]
-    Head,
-    /// Not chunked: all that follows is the body.
-    Plain,
-    Size,
-    Data(usize),
-    DataEnd,
-    Over,
-}
-
-impl Lines {
-    /// Takes bytes as they come and appends the lines that are whole now, without their ends.
-    pub fn feed(&mut self, bytes: &[u8], lines: &mut Vec<Vec<u8>>) -> Result<(), &'static str> {
-        self.raw.extend_from_slice(bytes);
-        let mut raw = std::mem::take(&mut self.raw);
-        let mut used = 0;
-        let read = loop {
-            match self.step(&raw[used..], lines) {
-                Ok(0) => break Ok(()),
-                Ok(count) => used += count,
-                Err(cause) => break Err(cause),
-            }
-        };
-        raw.drain(..used);
-        self.raw = raw;
-        read
-    }
-
-    /// Uses up some of the bytes; 0 if more are needed.
-    fn step(&mut self, raw: &[u8], lines: &mut Vec<Vec<u8>>) -> Result<usize, &'static str> {
-        match self.part {
-            Part::Head => {
-                let Some(end) = raw.windows(4).position(|four| four == b"\r\n\r\n") else {
-                    return if raw.len() > MOST_HEAD { Err("its head is too long") } else { Ok(0) };
-                };
-                self.part = head(&raw[..end])?;
-                Ok(end + 4)
-            }
-            Part::Size => {
-                let Some(end) = raw.windows(2).position(|two| two == b"\r\n") else {
-                    return if raw.len() > 256 { Err("a chunk's size is too long") } else { Ok(0) };
-                };
-                let digits = raw[..end].split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
-                let text = std::str::from_utf8(digits).unwrap_or_default();
-                let hex = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_hexdigit());
-                let size = usize::from_str_radix(text, 16).ok().filter(|_| hex);
-                self.part = match size.ok_or("a chunk has no size")? {
-                    0 => Part::Over,
-                    size => Part::Data(size),
-                };
-                Ok(end + 2)
-            }
-            Part::Data(left) => {
-                let count = left.min(raw.len());
-                self.body(&raw[..count], lines)?;
-                self.part = if count == left { Part::DataEnd } else { Part::Data(left - count) };
-                Ok(count)
-            }
-            Part::DataEnd if raw.len() < 2 => Ok(0),
-            Part::DataEnd if raw.starts_with(b"\r\n") => {
-                self.part = Part::Size;
-                Ok(2)
-            }
-            Part::DataEnd => Err("a chunk does not end where it should"),
-            Part::Plain => {
-                self.body(raw, lines)?;
-                Ok(raw.len())
-            }
-            Part::Over => Err("it is over"),
-        }
-    }
-
-    /// Whether its head was read, and is that of an answer.
-    pub fn began(&self) -> bool {
-        self.part != Part::Head
-    }
-
-    fn body(&mut self, mut bytes: &[u8], lines: &mut Vec<Vec<u8>>) -> Result<(), &'static str> {
-        while let Some(end) = bytes.iter().position(|byte| *byte == b'\n') {
-            self.line.extend_from_slice(&bytes[..end]);
-            lines.push(std::mem::take(&mut self.line));
-            bytes = &bytes[end + 1..];
-        }
-        self.line.extend_from_slice(bytes);
-        if self.line.len() > MOST_LINE {
-            return Err("a line is too long");
-        }
-        Ok(())
-    }
-}
+type Call = Pin<Box<dyn Future<Output = Result<List, String>>>>;
 
-/// What kind of body follows this head.
-fn head(head: &[u8]) -> Result<Part, &'static str> {
-    let text = std::str::from_utf8(head).map_err(|_| "its head is not text")?;
-    let mut lines = text.split("\r\n");
-    let status = lines.next().unwrap_or_default();
-    if !status.starts_with("HTTP/1.") || status.split(' ').nth(1) != Some("200") {
-        return Err(REFUSED);
+/// Waits for the call that is being made, if there is one.
+async fn finished(call: &mut Option<Call>) -> Result<List, String> {
+    match call {
+        Some(call) => call.await,
+        None => std::future::pending().await,
     }
-    let chunked = lines.filter_map(|line| line.split_once(':')).any(|(name, value)| {
-        name.eq_ignore_ascii_case("transfer-encoding") && value.trim().eq_ignore_ascii_case("chunked")
-    });
-    Ok(if chunked { Part::Size } else { Part::Plain })
 }
--- /dev/null
+++ b/src/net/lines.rs
@@ -0,0 +1,215 @@
+//! An HTTP/1.1 answer of discovery, cut into lines, and the lines put together to lists.
+
+/// Longest head and longest list taken from discovery.
+const MOST_HEAD: usize = 16 * 1024;
+const MOST_LINE: usize = 4 * 1024 * 1024;
+
+/// What is said of a call that was answered, but not with a list.
+pub(super) const REFUSED: &str = "its status is not 200";
+
+/// What is said of an answer that has come to its own end.
+pub(super) const OVER: &str = "it is over";
+
+/// Reads an HTTP/1.1 answer and cuts its body into lines.
+#[derive(Debug, Default)]
+pub struct Lines {
+    raw: Vec<u8>,
+    part: Part,
+    line: Vec<u8>,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+enum Part {
+    #[default]
+    Head,
+    /// Neither chunked nor of a stated length: all that follows is the body.
+    Plain,
+    /// So many bytes are left of the body.
+    Counted(usize),
+    Size,
+    Data(usize),
+    DataEnd,
+    Over,
+}
+
+impl Lines {
+    /// Takes bytes as they come and appends the lines that are whole now, without their ends.
+    pub fn feed(&mut self, bytes: &[u8], lines: &mut Vec<Vec<u8>>) -> Result<(), &'static str> {
+        self.raw.extend_from_slice(bytes);
+        let mut raw = std::mem::take(&mut self.raw);
+        let mut used = 0;
+        let read = loop {
+            match self.step(&raw[used..], lines) {
+                Ok(0) => break Ok(()),
+                Ok(count) => used += count,
+                Err(cause) => break Err(cause),
+            }
+        };
+        raw.drain(..used);
+        self.raw = raw;
+        read
+    }
+
+    /// Uses up some of the bytes; 0 if more are needed.
+    fn step(&mut self, raw: &[u8], lines: &mut Vec<Vec<u8>>) -> Result<usize, &'static str> {
+        match self.part {
+            Part::Head => {
+                let Some(end) = raw.windows(4).position(|four| four == b"\r\n\r\n") else {
+                    return if raw.len() > MOST_HEAD { Err("its head is too long") } else { Ok(0) };
+                };
+                self.part = head(&raw[..end])?;
+                Ok(end + 4)
+            }
+            Part::Size => {
+                let Some(end) = raw.windows(2).position(|two| two == b"\r\n") else {
+                    return if raw.len() > 256 { Err("a chunk's size is too long") } else { Ok(0) };
+                };
+                let digits = raw[..end].split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
+                let text = std::str::from_utf8(digits).unwrap_or_default();
+                let hex = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+                let size = usize::from_str_radix(text, 16).ok().filter(|_| hex);
+                self.part = match size.ok_or("a chunk has no size")? {
+                    0 => Part::Over,
+                    size => Part::Data(size),
+                };
+                Ok(end + 2)
+            }
+            Part::Data(left) => {
+                let count = left.min(raw.len());
+                self.body(&raw[..count], lines)?;
+                self.part = if count == left { Part::DataEnd } else { Part::Data(left - count) };
+                Ok(count)
+            }
+            Part::DataEnd if raw.len() < 2 => Ok(0),
+            Part::DataEnd if raw.starts_with(b"\r\n") => {
+                self.part = Part::Size;
+                Ok(2)
+            }
+            Part::DataEnd => Err("a chunk does not end where it should"),
+            Part::Plain => {
+                self.body(raw, lines)?;
+                Ok(raw.len())
+            }
+            Part::Counted(left) => {
+                let count = left.min(raw.len());
+                self.body(&raw[..count], lines)?;
+                self.part = if count == left { Part::Over } else { Part::Counted(left - count) };
+                Ok(count)
+            }
+            Part::Over => Err(OVER),
+        }
+    }
+
+    /// No more comes: the last line, which may lack its end.
+    pub fn last(&mut self) -> Option<Vec<u8>> {
+        Some(std::mem::take(&mut self.line)).filter(|line| !line.is_empty())
+    }
+
+    /// Whether its head was read, and is that of an answer.
+    pub fn began(&self) -> bool {
+        self.part != Part::Head
+    }
+
+    fn body(&mut self, mut bytes: &[u8], lines: &mut Vec<Vec<u8>>) -> Result<(), &'static str> {
+        while let Some(end) = bytes.iter().position(|byte| *byte == b'\n') {
+            self.line.extend_from_slice(&bytes[..end]);
+            lines.push(std::mem::take(&mut self.line));
+            bytes = &bytes[end + 1..];
+        }
+        self.line.extend_from_slice(bytes);
+        if self.line.len() > MOST_LINE {
+            return Err("a line is too long");
+        }
+        Ok(())
+    }
+}
+
+/// What kind of body follows this head.
+fn head(head: &[u8]) -> Result<Part, &'static str> {
+    let text = std::str::from_utf8(head).map_err(|_| "its head is not text")?;
+    let mut lines = text.split("\r\n");
+    let status = lines.next().unwrap_or_default();
+    if !status.starts_with("HTTP/1.") || status.split(' ').nth(1) != Some("200") {
+        return Err(REFUSED);
+    }
+    let mut part = Part::Plain;
+    for (name, value) in lines.filter_map(|line| line.split_once(':')) {
+        if name.eq_ignore_ascii_case("transfer-encoding") && value.trim().eq_ignore_ascii_case("chunked") {
+            return Ok(Part::Size);
+        }
+        if name.eq_ignore_ascii_case("content-length") {
+            part = match value.trim().parse().map_err(|_| "its length is no number")? {
+                0 => Part::Over,
+                length => Part::Counted(length),
+            };
+        }
+    }
+    Ok(part)
+}
+
+/// A list as it was written, on one line or indented over several.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Text {
+    /// A whole value, or a line that is none.
+    Whole(Vec<u8>),
+    /// One that was begun and does not go on.
+    Broken,
+}
+
+/// Puts lines together to lists. Holds one list that is not whole, of the longest size at most.
+#[derive(Debug, Default)]
+pub struct Texts {
+    text: Vec<u8>,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Texts {
+    /// Nothing was begun.
+    pub fn is_empty(&self) -> bool {
+        self.text.is_empty()
+    }
+
+    /// Takes a line, without its end. `is_list` tells a list by itself from a row of one.
+    pub fn line(&mut self, line: &[u8], is_list: impl Fn(&[u8]) -> bool, texts: &mut Vec<Text>) {
+        let open = !self.text.is_empty();
+        // The empty line between two lists cannot stand in one.
+        let ends = line.trim_ascii().is_empty();
+        if open && (ends || line.starts_with(b"{") && is_list(line)) {
+            *self = Texts::default();
+            texts.push(Text::Broken);
+        }
+        if ends {
+            return;
+        }
+        self.text.extend_from_slice(line);
+        self.text.push(b'\n');
+        // A string does not go on over the end of a line.
+        if !self.scan(line) || self.quoted || self.text.len() > MOST_LINE {
+            *self = Texts::default();
+            texts.push(Text::Broken);
+        } else if self.depth == 0 {
+            texts.push(Text::Whole(std::mem::take(self).text));
+        }
+    }
+
+    /// False if more is closed than was opened.
+    fn scan(&mut self, line: &[u8]) -> bool {
+        for byte in line {
+            match (byte, self.quoted) {
+                _ if self.escaped => self.escaped = false,
+                (b'\\', true) => self.escaped = true,
+                (b'"', _) => self.quoted = !self.quoted,
+                (_, true) => {}
+                (b'{' | b'[', false) => self.depth += 1,
+                (b'}' | b']', false) => match self.depth.checked_sub(1) {
+                    Some(depth) => self.depth = depth,
+                    None => return false,
+                },
+                _ => {}
+            }
+        }
+        true
+    }
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -1,6 +1,9 @@
 //! A stage for one gateway: the program itself, and the scripted peers it talks to.
 
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
+
+mod source;
+pub use source::{chunk, Act, WatchScripts, HEAD};
 
 use std::cell::{Cell, RefCell};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -102,27 +105,35 @@
     address: String,
     seen: Receiver<String>,
     ended: Receiver<()>,
+    came: Receiver<()>,
     go: Sender<()>,
     count: Cell<usize>,
 }
 
 impl Host {
     fn start(ip: &str, script: Vec<Say>) -> Host {
+        Host::slow_from(ip, script, usize::MAX)
+    }
+
+    /// From this connection on, counted from 0, it welcomes none before the test says so.
+    fn slow_from(ip: &str, script: Vec<Say>, slow_from: usize) -> Host {
         let listener = TcpListener::bind((ip, 0)).expect("a free port");
         let address = listener.local_addr().expect("an address").to_string();
-        let ((saw, seen), (end, ended), (go, gone)) = (channel(), channel(), channel());
+        let ((saw, seen), (end, ended), (go, gone), (come, came)) =
+            (channel(), channel(), channel(), channel());
         // Its connections share the script: whichever gets a query takes the next line.
         let (script, gone) = (Arc::new(Mutex::new(script.into_iter())), Arc::new(Mutex::new(gone)));
         thread::spawn(move || {
-            for stream in listener.incoming() {
+            for (place, stream) in listener.incoming().enumerate() {
                 let (script, saw, gone, end) = (script.clone(), saw.clone(), gone.clone(), end.clone());
+                let come = (place >= slow_from).then(|| come.clone());
                 thread::spawn(move || {
-                    serve(stream.expect("a connection"), &script, &saw, &gone);
+                    serve(stream.expect("a connection"), &script, &saw, &gone, come.as_ref());
                     let _ = end.send(());
                 });
             }
         });
-        Host { address, seen, ended, go, count: Cell::new(0) }
+        Host { address, seen, ended, came, go, count: Cell::new(0) }
     }
 
     /// The next query that it got.
@@ -136,6 +147,11 @@
         self.count.get() + self.seen.try_iter().count()
     }
 
+    /// A connection waits to be welcomed.
+    pub fn next_connection(&self) {
+        self.came.recv_timeout(NEVER).expect("a connection comes");
+    }
+
     /// A connection to it has ended.
     pub fn left(&self) {
         self.ended.recv_timeout(NEVER).expect("the gateway closes");
@@ -151,6 +167,7 @@
     script: &Mutex<impl Iterator<Item = Say>>,
     saw: &Sender<String>,
     go: &Mutex<Receiver<()>>,
+    come: Option<&Sender<()>>,
 ) {
     let mut length = [0; 4];
     if stream.read_exact(&mut length).is_err() {
@@ -160,7 +177,12 @@
     stream.read_exact(&mut rest).expect("a startup message");
     let ready = message(b'Z', b"I");
     let welcome = [message(b'R', &[0; 4]), ready.clone()].concat();
-    stream.write_all(&welcome).expect("it is read");
+    if let Some(come) = come {
+        let _ = come.send(());
+        go.lock().expect("a signal").recv_timeout(NEVER).expect("it may go on");
+    }
+    // The gateway may have left meanwhile.
+    let _ = stream.write_all(&welcome);
     while let Some((kind, body)) = read_message(&mut stream) {
         assert_eq!(kind, b'Q', "only simple queries");
         let _ = saw.send(String::from_utf8_lossy(&body[..body.len() - 1]).into_owned());
@@ -262,11 +284,17 @@
         Host::start(&self.ip, script)
     }
 
+    /// A host that welcomes no connection, from this one on, before the test says so.
+    pub fn slow_host(&self, from: usize, script: Vec<Say>) -> Host {
+        Host::slow_from(&self.ip, script, from)
+    }
+
     /// A host at whose address nobody listens.
     pub fn closed_host(&self) -> Host {
         let listener = TcpListener::bind((self.ip.as_str(), 0)).expect("a free port");
         let address = listener.local_addr().expect("an address").to_string();
-        Host { address, seen: channel().1, ended: channel().1, go: channel().0, count: Cell::new(0) }
+        let (seen, ended, came) = (channel().1, channel().1, channel().1);
+        Host { address, seen, ended, came, go: channel().0, count: Cell::new(0) }
     }
 
     pub fn entries(&self, hosts: &[(&Host, &str, &str)]) -> String {
@@ -421,6 +449,13 @@
         gateway
     }
 
+    /// Starts the program as it is configured so, before a discovery whose connections follow these scripts.
+    pub fn start_scripted(self, config: &str, scripts: Vec<Vec<Act>>) -> (Gateway, WatchScripts) {
+        let gateway = self.start_with(config);
+        gateway.line_with("serves at");
+        (gateway, WatchScripts::play(self.discovery, scripts))
+    }
+
     /// A further source of discovery that brings these lines: its address, and the heads of its watches.
     pub fn other_source(&self, news: &[&str]) -> (String, Receiver<String>) {
         let listener = TcpListener::bind((self.ip.as_str(), 0)).expect("a free port");
@@ -627,6 +662,11 @@
 pub struct Client(TcpStream, SocketAddr);
 
 impl Client {
+    /// Leaves with a reset in place of the end of its bytes.
+    pub fn reset(self) {
+        socket2::SockRef::from(&self.0).set_linger(Some(Duration::ZERO)).expect("an option");
+    }
+
     fn connected(address: SocketAddr) -> Client {
         let stream = TcpStream::connect(address).expect("it accepts");
         stream.set_read_timeout(Some(NEVER)).expect("a limit");
--- /dev/null
+++ b/tests/stage/source.rs
@@ -0,0 +1,96 @@
+//! A discovery whose connections follow a script, byte by byte: what it does wrong is up to the test.
+
+use super::NEVER;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// The head of a watch.
+pub const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A chunk with this text.
+pub fn chunk(text: &str) -> Vec<u8> {
+    format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
+}
+
+/// What a connection does next, once it was asked.
+#[derive(Clone)]
+pub enum Act {
+    /// Writes these bytes.
+    Say(Vec<u8>),
+    /// Waits until the test says so.
+    WaitForGo,
+    /// Writes these bytes again and again, up to the connection's end.
+    Trickle(Vec<u8>),
+    /// Writes the empty line each second, up to the connection's end.
+    Beat,
+    /// Says nothing more, for good.
+    Silence,
+}
+
+/// The discovery. A connection that has no script gets no answer.
+pub struct WatchScripts {
+    asked: Receiver<String>,
+    go: Sender<()>,
+}
+
+impl WatchScripts {
+    /// Serves connections side by side, each by the next script. At its end a connection is closed.
+    pub fn play(listener: TcpListener, scripts: Vec<Vec<Act>>) -> WatchScripts {
+        let ((ask, asked), (go, gone)) = (channel(), channel());
+        let gone = Arc::new(Mutex::new(gone));
+        thread::spawn(move || {
+            let mut scripts = scripts.into_iter();
+            for stream in listener.incoming() {
+                let script = scripts.next().unwrap_or_else(|| vec![Act::Silence]);
+                let (ask, gone) = (ask.clone(), gone.clone());
+                thread::spawn(move || serve(stream.expect("a connection"), script, &ask, &gone));
+            }
+        });
+        WatchScripts { asked, go }
+    }
+
+    /// The first line of the next question.
+    pub fn next(&self) -> String {
+        self.asked.recv_timeout(NEVER).expect("it asks")
+    }
+
+    /// Lets the connection that waits go on.
+    pub fn go(&self) {
+        self.go.send(()).expect("it waits");
+    }
+}
+
+fn serve(mut stream: TcpStream, script: Vec<Act>, ask: &Sender<String>, go: &Mutex<Receiver<()>>) {
+    let mut lines = BufReader::new(stream.try_clone().expect("a second handle"));
+    let (mut first, mut head) = (String::new(), String::new());
+    while !head.ends_with("\r\n\r\n") {
+        if lines.read_line(&mut head).unwrap_or(0) == 0 {
+            return;
+        }
+        if first.is_empty() {
+            first = head.trim_end().to_string();
+        }
+    }
+    let _ = ask.send(first);
+    for act in script {
+        match act {
+            Act::Say(bytes) => {
+                let _ = stream.write_all(&bytes);
+            }
+            Act::WaitForGo => go.lock().expect("a signal").recv_timeout(NEVER).expect("it may go on"),
+            Act::Trickle(bytes) => while pause(1) && stream.write_all(&bytes).is_ok() {},
+            Act::Beat => while stream.write_all(&chunk("\n")).is_ok() && pause(5) {},
+            // Up to the end of the connection: the gateway says nothing more.
+            Act::Silence => while lines.read_line(&mut head).unwrap_or(0) > 0 {},
+        }
+    }
+}
+
+fn pause(fifths: u32) -> bool {
+    thread::sleep(Duration::from_millis(200) * fifths);
+    true
+}
