Look once more before the first byte: client gone, host draining, key's window over

Cause: between the order of an attempt and its first byte lies a connection that comes up, up to connect_timeout_us (0.25 s here, other customers' settings may say more). Nothing was looked at behind it: - crates/policy router/requests.rs call_off() does nothing where bounds.cancel is false, so an attempt outlived its client and was written; and in src/net/attempt.rs the select takes the work first, so a connection that came up in the turn of the call-off was written to. - Hosts::connect() took the address at the start; a host that began to drain, left, moved or started anew meanwhile got the request. - Router::allowed() looks at the window when it decides, and the repeat was written whenever its connection was up. The model judged by the time of the order too. - Inbox::left() did not take Terminate for leaving.

Change: End::NotWanted; the attempt asks the desk (is its request open), the hosts (same address, same run, up) and the clock (Send::write_by, reckoned by the desk) right before the first byte; nothing can come between. A connection that was ready rests. Ending::never_ran() is the one place that says what an ending proves. Ruled out as a cause: pipelined queries and requests that wait in the module; they were dropped with FIN and RST before, and are forced now.

Model `attempt` finds the planted LateRepeat, and `connection` takes the new transition.

--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -104,6 +104,8 @@
     pub host: MemberId,
     /// Clock time at which to give it up.
     pub until: Time,
+    /// Clock time by which it must be written, if at all: a repeat with a key, within the key's window.
+    pub write_by: Time,
     /// When it was ordered.
     pub at: Time,
 }
@@ -169,6 +171,8 @@
 struct Open {
     class: usize,
     attempts: u32,
+    /// When the first attempt was ordered that may have run.
+    ran_from: Option<Time>,
     watch: Option<Watch>,
 }
 
@@ -296,6 +300,11 @@
         deadlines.max().unwrap_or(0)
     }
 
+    /// Whether the request still waits for its end.
+    pub fn is_open(&self, request: &RequestId) -> bool {
+        self.open.contains_key(request)
+    }
+
     /// Counts the settings that were in force, from 1.
     pub fn version(&self) -> u64 {
         self.rules.version()
@@ -410,7 +419,7 @@
             _ => None,
         };
         let needed = watch.as_ref().and_then(|watch| watch.floor).map(|floor| floor.need());
-        self.open.insert(id.clone(), Open { class: request.class, attempts: 0, watch });
+        self.open.insert(id.clone(), Open { class: request.class, attempts: 0, ran_from: None, watch });
         self.queue.push(Event::Request {
             request: id.clone(),
             class: request.class,
@@ -484,8 +493,12 @@
                     watch.before = self.told.get(&member).copied();
                 }
                 let class = open.class;
+                let write_by = match (self.rules.class(class).effect, open.ran_from) {
+                    (Effect::Keyed { window, .. }, Some(from)) => from.saturating_add(window),
+                    _ => Time::MAX,
+                };
                 self.out.insert((request.clone(), attempt), class);
-                Some(Order::Send(Send { request, attempt, host: member, until, at: now }))
+                Some(Order::Send(Send { request, attempt, host: member, until, write_by, at: now }))
             }
             Action::Refuse { request, wait } => {
                 self.end(now, &request)?;
@@ -543,6 +556,9 @@
             let told = self.told.entry(send.host).or_default();
             *told = position.max(*told);
         }
+        if let (false, Some(open)) = (outcome.ending.never_ran(), self.open.get_mut(&send.request)) {
+            open.ran_from.get_or_insert(send.at);
+        }
         let answered = outcome.ending == Ending::Served || outcome.unusable;
         // Closed here and not by the next step: no refusal may overtake an answer.
         let owed =
--- a/crates/lifecycle/src/ending.rs
+++ b/crates/lifecycle/src/ending.rs
@@ -45,6 +45,8 @@
     NoMemory,
     /// Its time was over before it could be written.
     TooLate,
+    /// Its connection was ready for it, but by then its client had left or its host was no longer to get anything.
+    NotWanted,
     /// Idle too long, or its host moved, started again or left: closed by the gateway.
     Retired,
     /// Idle, and closed by the host.
@@ -71,7 +73,7 @@
 
 impl End {
     /// All of them, in order.
-    pub const ALL: [End; 31] = [
+    pub const ALL: [End; 32] = [
         End::Served,
         End::Flows,
         End::HostError,
@@ -92,6 +94,7 @@
         End::NoAddress,
         End::NoMemory,
         End::TooLate,
+        End::NotWanted,
         End::Retired,
         End::HostClosedIdle,
         End::ClientLeft,
@@ -123,7 +126,9 @@
             // It was sent, and then given up for want of memory here: the host is not to blame.
             End::CalledOff | End::NoMemory => Ending::CalledOff,
             // Nothing the host did: it must not be blamed for it.
-            End::NoDescriptor | End::NoAddress | End::TooLate | End::Unusable => Ending::NotSent,
+            End::NoDescriptor | End::NoAddress | End::TooLate | End::NotWanted | End::Unusable => {
+                Ending::NotSent
+            }
             // These end connections that carry no attempt.
             End::Retired
             | End::HostClosedIdle
--- a/crates/lifecycle/src/exchange.rs
+++ b/crates/lifecycle/src/exchange.rs
@@ -60,6 +60,9 @@
     Greeted,
     /// The host turned the connection away with an error of its own.
     TurnedAway(End),
+    /// Before the first byte of the request: its client has left, it was called off, or its host is no longer to get
+    /// anything.
+    Unwanted,
     /// The last byte of the request was written.
     Written,
     /// The first bytes of an answer came.
@@ -104,6 +107,8 @@
     stage: Stage,
     /// Clock time at which it is given up.
     until: Time,
+    /// Clock time by which its request must be written, if at all.
+    write_by: Time,
     /// The host said that it is ready for another request.
     ready: bool,
 }
@@ -123,7 +128,14 @@
             true => Stage::Writing,
             false => Stage::Connecting { by: up_by.min(until) },
         };
-        Exchange { stage, until, ready: false }
+        Exchange { stage, until, write_by: until, ready: false }
+    }
+
+    /// The same, with a request that must be written by then or not at all: behind the window of its key a repeat would
+    /// be a second effect, however long its connection took to come up.
+    pub fn written_by(self, at: Time) -> Exchange {
+        let write_by = if mutant(Mutant::LateRepeat) { self.until } else { self.until.min(at) };
+        Exchange { write_by, ..self }
     }
 
     /// Where it stands.
@@ -147,8 +159,10 @@
     /// Clock time at which [`Event::Due`] is to be told.
     pub fn due(&self) -> Time {
         match self.stage {
-            Stage::Connecting { by } | Stage::Greeting { by } | Stage::Answering { by } => by.min(self.until),
-            Stage::Writing | Stage::Waiting | Stage::Ended(_) => self.until,
+            Stage::Connecting { by } | Stage::Greeting { by } => by.min(self.write_by),
+            Stage::Answering { by } => by.min(self.until),
+            Stage::Writing => self.write_by,
+            Stage::Waiting | Stage::Ended(_) => self.until,
         }
     }
 
@@ -168,18 +182,23 @@
 
             (Connecting { by }, Event::Connected) => Greeting { by },
             (Connecting { .. }, Event::Refused) => Ended(End::ConnectRefused),
-            (Greeting { .. }, Event::Greeted) if now >= self.until => Ended(End::TooLate),
+            (Greeting { .. }, Event::Greeted) if now >= self.write_by => Ended(End::TooLate),
             (Greeting { .. }, Event::Greeted) => Writing,
             (Greeting { .. }, Event::TurnedAway(end)) => Ended(end),
             (Greeting { .. }, Event::Broke | Event::Malformed) => Ended(End::BrokenUnsent),
             (Greeting { .. }, Event::NoMemory) => Ended(End::NoDescriptor),
+            // No more time for it, which says nothing of the host.
+            (Connecting { by } | Greeting { by }, Event::Due) if self.write_by <= now && now < by => {
+                Ended(End::TooLate)
+            }
             (Connecting { by } | Greeting { by }, Event::Due) if now >= by => Ended(End::ConnectSilent),
+            (Writing, Event::Unwanted) => Ended(End::NotWanted),
 
             (Writing, Event::Written) if mutant(Mutant::EarlyStall) => Answering { by: now + ANSWER },
             (Writing, Event::Written) => Waiting,
             (Writing, Event::Broke) => Ended(End::BrokenUnsent),
             // Not written whole: it never ran.
-            (Writing, Event::Due) if now >= self.until => Ended(End::ConnectSilent),
+            (Writing, Event::Due) if now >= self.write_by => Ended(End::ConnectSilent),
 
             (Waiting, Event::Began) => Answering { by: now + ANSWER },
             (Waiting | Answering { .. }, Event::Answered { copy: true, .. }) => {
@@ -211,7 +230,9 @@
         if end == End::Flows {
             return Some((if mutant(Mutant::LentRests) { Away::Rest } else { Away::Lend }, Told { end }));
         }
-        let away = match (end.is_answer() && self.ready, unread && !mutant(Mutant::UnreadRests)) {
+        // Nothing was written on one that was not wanted: it is as fresh as it was.
+        let fit = end.is_answer() && self.ready || end == End::NotWanted;
+        let away = match (fit, unread && !mutant(Mutant::UnreadRests)) {
             (true, false) => Away::Rest,
             (true, true) => Away::Surplus,
             (false, _) if mutant(Mutant::ToldBeforeClosed) => Away::Rest,
--- a/crates/models/src/attempts.rs
+++ b/crates/models/src/attempts.rs
@@ -230,10 +230,23 @@
             self.breaks(REPEAT);
         }
         // Connections do not rest here: the model `connection` has that.
-        let life = Exchange::new(false, self.now, self.now + 2 * GRANULE, send.until);
+        let life =
+            Exchange::new(false, self.now, self.now + 3 * GRANULE, send.until).written_by(send.write_by);
         self.out.push(Out { send, life, may_have_run: false, called_off: false, reported: false });
     }
 
+    /// What counts for the window of a key is when a repeat was written, however long its connection took.
+    fn judge_repeat(&mut self, place: usize) {
+        let request = self.out[place].send.request.clone();
+        let Effect::Keyed { window, .. } = self.writes[self.asked[self.place(&request)].class] else {
+            return;
+        };
+        let first = self.of(&request).find(|out| out.may_have_run).map(|out| out.send.at);
+        if first.is_some_and(|first| self.now > first + window) {
+            self.breaks(REPEAT);
+        }
+    }
+
     fn ends(&mut self, place: usize) {
         let asked = &mut self.asked[place];
         asked.finals += 1;
@@ -341,6 +354,9 @@
                         self.tell(place, event);
                     }
                 }
+                if self.out[place].may_have_run {
+                    self.judge_repeat(place);
+                }
             }
             Move::Refuses(place) => self.tell(place, Event::Refused),
             Move::Breaks(place) => self.tell(place, Event::Broke),
--- a/crates/models/src/connection.rs
+++ b/crates/models/src/connection.rs
@@ -79,6 +79,8 @@
     Reads,
     /// The decisions call the attempt off.
     CallOff,
+    /// Nobody wants the attempt any more, and nothing of it was written.
+    Unwanted,
     /// Time passes up to the attempt's limit.
     Due,
     /// Time passes.
@@ -175,7 +177,8 @@
         if told.end == End::HostStalled && !self.began {
             self.broken = Some(EARLY);
         }
-        if !told.end.is_answer() && away == Away::Rest {
+        let owes = line.as_ref().is_some_and(|line| line.owed.contains(&request));
+        if !told.end.is_answer() && away == Away::Rest && (owes || told.end != End::NotWanted) {
             self.broken = Some(CLOSED);
         }
         if let (Away::Rest, Some(line)) = (away, line) {
@@ -229,9 +232,7 @@
             }
             Some(stage) => {
                 moves.extend([Move::CallOff, Move::Due]);
-                if stage != Stage::Writing {
-                    moves.push(Move::Lacks);
-                }
+                moves.push(if stage == Stage::Writing { Move::Unwanted } else { Move::Lacks });
                 if matches!(stage, Stage::Greeting { .. }) {
                     moves.extend([
                         Move::Unwelcome { turned_away: true },
@@ -286,6 +287,7 @@
             Move::Send => self.begin(),
             Move::Waits(span) => (self.now, self.waited) = (now + span, true),
             Move::CallOff => self.tell(Event::CalledOff),
+            Move::Unwanted => self.tell(Event::Unwanted),
             Move::Lacks => {
                 let connecting = matches!(self.stage(), Some(Stage::Connecting { .. }));
                 self.tell(if connecting { Event::NotTried(End::NoDescriptor) } else { Event::NoMemory });
@@ -427,6 +429,7 @@
             Move::HostCloses => "the host closes the connection".into(),
             Move::Reads => "the gateway reads what lies there next".into(),
             Move::CallOff => "the decisions call the attempt off".into(),
+            Move::Unwanted => "nobody wants the attempt any more".into(),
             Move::Due => "the attempt's limit comes".into(),
             Move::Waits(span) => format!("{} ms pass", span / 1000),
         };
--- a/crates/models/src/coverage.rs
+++ b/crates/models/src/coverage.rs
@@ -40,6 +40,7 @@
         Event::NotTried(End::NoDescriptor),
         Event::Greeted,
         Event::TurnedAway(End::Full),
+        Event::Unwanted,
         Event::Written,
         Event::Began,
         answered(false),
--- a/crates/models/src/lib.rs
+++ b/crates/models/src/lib.rs
@@ -105,6 +105,7 @@
     match bug {
         Mutant::DrainIgnored
         | Mutant::WindowIgnored
+        | Mutant::LateRepeat
         | Mutant::ResetUnproved
         | Mutant::SecondCopy
         | Mutant::RefusedAsHarmless
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -333,6 +333,13 @@
     TurnedAway,
 }
 
+impl Ending {
+    /// It proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::Full | Ending::Unreached | Ending::NotSent | Ending::TurnedAway)
+    }
+}
+
 /// What a member says of itself.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Report {
--- a/crates/policy/src/mutant.rs
+++ b/crates/policy/src/mutant.rs
@@ -26,6 +26,8 @@
     LostReport,
     /// The limit for an answer that has begun ends one that has not.
     EarlyStall,
+    /// A repeat is written whenever its connection comes up.
+    LateRepeat,
     /// A connection with unread bytes goes back to rest.
     UnreadRests,
     /// A connection whose host spoke unasked is used again.
@@ -90,7 +92,7 @@
 
 impl Mutant {
     /// All of them.
-    pub const ALL: [Mutant; 41] = [
+    pub const ALL: [Mutant; 42] = [
         Mutant::DrainIgnored,
         Mutant::WindowIgnored,
         Mutant::UnsafeRepeated,
@@ -102,6 +104,7 @@
         Mutant::ToldBeforeClosed,
         Mutant::LostReport,
         Mutant::EarlyStall,
+        Mutant::LateRepeat,
         Mutant::UnreadRests,
         Mutant::SurplusReused,
         Mutant::CopyTaken,
--- a/crates/policy/src/router/list.rs
+++ b/crates/policy/src/router/list.rs
@@ -150,8 +150,7 @@
         }
         let Some(seq) = self.names.get(request).copied() else { return };
         let Some(req) = self.requests.get_mut(&seq) else { return };
-        let never_ran =
-            matches!(ending, Ending::Full | Ending::Unreached | Ending::NotSent | Ending::TurnedAway);
+        let never_ran = ending.never_ran();
         if let Some(tried) = req.attempts.get_mut(*attempt as usize) {
             tried.out = false;
             tried.may_have_run = !never_ran;
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -238,9 +238,10 @@
                 let (caller, called_off) = oneshot::channel();
                 self.0.callers.borrow_mut().insert((send.request.clone(), send.attempt), caller);
                 let inbox = self.0.asking.borrow().get(&send.request).cloned();
-                let (host, until) = (send.host, send.until);
+                let (host, until, write_by) = (send.host, send.until, send.write_by);
+                let facade = self.clone();
                 let attempt =
-                    Attempt { facade: self.clone(), send, host, until, called_off, reported: false };
+                    Attempt { facade, send, host, until, write_by, called_off, off: false, reported: false };
                 // One that nobody takes reports itself, here and now.
                 if let Some(inbox) = inbox {
                     let _ = inbox.send(Decision::Send(attempt));
@@ -297,16 +298,28 @@
     pub host: MemberId,
     /// Clock time at which to give it up.
     pub until: Time,
+    /// Clock time by which it must be written, if at all.
+    pub write_by: Time,
     called_off: oneshot::Receiver<()>,
+    /// The calling off has been heard.
+    off: bool,
     reported: bool,
 }
 
 impl Attempt {
     /// Waits until the attempt is to be given up before its time.
     pub async fn called_off(&mut self) {
-        if (&mut self.called_off).await.is_err() {
+        if !self.off && (&mut self.called_off).await.is_err() {
             std::future::pending().await
         }
+        self.off = true;
+    }
+
+    /// Whether it may still be made, as of now: its request waits, and it has not been called off.
+    pub fn is_wanted(&mut self) -> bool {
+        // The word may lie there while nobody waits for it: the caller's own work goes first.
+        self.off = self.off || self.called_off.try_recv().is_ok();
+        !self.off && self.facade.0.desk.borrow().is_open(&self.send.request)
     }
 
     /// Reports how the attempt ended. True if the member answered and its request is still open: then what the member
--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -29,11 +29,20 @@
         let mut line = Line::new(self.reuse(host), self.budget.hold(false));
         let now = self.clock.now();
         let (began, reused, mut written) = (now, line.connection.is_some(), None);
-        let mut life = Exchange::new(reused, now, now + self.patience(host), until);
+        let mut life =
+            Exchange::new(reused, now, now + self.patience(host), until).written_by(attempt.write_by);
         // One timer for as long as the limit is the same.
         let mut due = life.due();
         let mut timer = pin!(self.clock.sleep_until(due));
         while life.ended().is_none() {
+            // Much may have happened while its connection came up. From here to its first byte nothing can.
+            if life.stage() == Stage::Writing && line.query.is_none() {
+                let takes = line.connection.as_ref().is_some_and(|one| self.takes(host, one.site));
+                if !takes || !attempt.is_wanted() || self.clock.now() >= attempt.write_by {
+                    life.on(self.clock.now(), Event::Unwanted);
+                    continue;
+                }
+            }
             if life.due() != due {
                 due = life.due();
                 timer.set(self.clock.sleep_until(due));
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -192,6 +192,11 @@
         }
     }
 
+    /// Whether a host is still where a connection to it leads, and takes new work.
+    pub(super) fn takes(&self, id: MemberId, site: Site) -> bool {
+        site.up && self.hosts.borrow().get(&id).is_some_and(|host| host.site == site)
+    }
+
     pub(super) fn put_back(&self, id: MemberId, connection: Connection) {
         let mut hosts = self.hosts.borrow_mut();
         let home = hosts.get_mut(&id).filter(|host| host.site == connection.site && host.site.up);
@@ -221,7 +226,7 @@
     }
 
     pub(super) async fn connect(&self, id: MemberId) -> Result<Connection, Event> {
-        let site = self.hosts.borrow().get(&id).map(|host| host.site);
+        let site = self.hosts.borrow().get(&id).map(|host| host.site).filter(|site| site.up);
         let site = site.ok_or(Event::NotTried(End::NoAddress))?;
         if !self.make_room() {
             return Err(Event::NotTried(End::NoDescriptor));
--- a/src/net/inbox.rs
+++ b/src/net/inbox.rs
@@ -183,11 +183,14 @@
         }
     }
 
-    /// Reads ahead until the client leaves, or what it sent must be answered with its end. May be cancelled
-    /// without loss.
+    /// Reads ahead until the client leaves, or what it sent must be answered with its end. A goodbye is its leaving,
+    /// whatever it asked before: who says it closes at once. May be cancelled without loss.
     pub(super) async fn left(&mut self) -> End {
         loop {
             self.sort();
+            if self.ready.iter().any(|(message, _)| Kind::of(message.kind()) == Kind::Terminate) {
+                return End::ClientTerminated;
+            }
             let flaw = self.flaw;
             let read = tokio::select! {
                 biased;
--- /dev/null
+++ b/tests/drains.rs
@@ -0,0 +1,81 @@
+//! A drain that is told, a window that closes or an address that changes while an attempt is on its way to its first
+//! byte: a host welcomes a connection only when the test says so.
+
+mod stage;
+use stage::*;
+
+fn patient(config: &str) -> String {
+    config.replace("\"connect_timeout_us\":250000", "\"connect_timeout_us\":50000000")
+}
+
+// The attempt was written as soon as its connection was up, however long the host had been known to drain.
+#[test]
+fn a_host_whose_drain_is_told_while_a_connection_comes_up_gets_nothing_on_it() {
+    for (number, change) in (190..).zip(["draining", "removed", "another address", "another run"]) {
+        let stage = Stage::new(number);
+        let (slow, next) = (stage.slow_host(0, vec![]), stage.host(vec![Say::Row(b"next")]));
+        let up = stage.entries(&[(&slow, "up", "primary")]);
+        let news = match change {
+            "another address" => stage.entries(&[(&next, "up", "primary")]),
+            "another run" => stage.entries(&[(&next, "up", "primary")]).replace("ms\":0", "ms\":1000"),
+            phase => stage.entries(&[(&slow, phase, "standby"), (&next, "up", "primary")]),
+        };
+        let script = vec![
+            Act::Say(HEAD.to_vec()),
+            Act::Say(chunk(&format!("{}\n", list(42, true, &up)))),
+            Act::WaitForGo,
+            Act::Say(chunk(&format!("{}\n", list(43, false, &news)))),
+            Act::Beat,
+        ];
+        let config = patient(&stage.config());
+        let (gateway, source) = stage.start_scripted(&config, vec![script]);
+        gateway.wait_for("lists=", |count| count >= 2);
+        let mut client = gateway.client();
+        client.write(&query(&select("a", "view", 60_000)));
+        slow.next_connection();
+        source.go();
+        gateway.wait_for("lists=", |count| count >= 3);
+        slow.go();
+        let answer = client.until_ready();
+        assert!(answer[1].1.ends_with(b"next"), "{change}: {answer:?}");
+        assert_eq!(slow.queries(), 0, "{change}");
+    }
+}
+
+// Its window was looked at when the repeat was decided on, and not when it was written.
+#[test]
+fn a_payment_is_not_repeated_behind_the_window_of_its_key_by_a_connection_that_came_up_late() {
+    let stage = Stage::new(194);
+    let host = stage.slow_host(1, vec![Say::Close]);
+    let stage = stage.list(&[(&host, "up", "primary")]);
+    let config = patient(&stage.config()).replace("\"window_us\":30000000", "\"window_us\":1500000");
+    let gateway = stage.start_as(&config);
+    let mut client = gateway.client();
+    client.write(&query(&insert("a", 6_000)));
+    host.next_query();
+    host.left();
+    host.next_connection();
+    // The one wait by the clock: up to the window's end, however long the way to here took.
+    std::thread::sleep(std::time::Duration::from_millis(2_000));
+    host.go();
+    let answer = client.until_ready();
+    assert_eq!((kinds(&answer).as_str(), field(&answer[0].1, b'C').as_str()), ("EZ", "40003"));
+    assert_eq!(host.queries(), 1);
+}
+
+// Within the window it is.
+#[test]
+fn a_payment_is_repeated_within_the_window_of_its_key() {
+    let stage = Stage::new(195);
+    let host = stage.slow_host(1, vec![Say::Close, Say::Row(b"v")]);
+    let stage = stage.list(&[(&host, "up", "primary")]);
+    let config = patient(&stage.config());
+    let gateway = stage.start_as(&config);
+    let mut client = gateway.client();
+    client.write(&query(&insert("a", 25_000)));
+    host.next_query();
+    host.next_connection();
+    host.go();
+    assert_eq!(kinds(&client.until_ready()), "TDCZ");
+    assert_eq!(host.queries(), 2);
+}
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,159 @@
+//! A client that leaves while its request waits: from then on nothing of it goes out. Each test forces the crossing by
+//! the order of events, with a host that welcomes a connection only when the test says so.
+
+mod stage;
+use stage::*;
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+enum Leave {
+    Fin,
+    Reset,
+    Goodbye,
+}
+
+const WAYS: [Leave; 3] = [Leave::Fin, Leave::Reset, Leave::Goodbye];
+
+/// Leaves. One that says goodbye keeps its socket, as one does that never comes to closing it.
+fn leave(client: Client, how: Leave) -> Option<Client> {
+    let mut client = client;
+    match how {
+        Leave::Fin => None,
+        Leave::Reset => {
+            client.reset();
+            None
+        }
+        Leave::Goodbye => {
+            client.write(&message(b'X', b""));
+            Some(client)
+        }
+    }
+}
+
+fn named(name: &str, id: &str) -> Vec<u8> {
+    query(&select(name, "view", 60_000).replace("9b1f", id))
+}
+
+/// Connections may take their time, and work that is out may be called off, or not.
+fn config(stage: &Stage, cancel: bool) -> String {
+    let config = stage.config().replace("\"connect_timeout_us\":250000", "\"connect_timeout_us\":50000000");
+    config.replace("\"cancel\":true", &format!("\"cancel\":{cancel}"))
+}
+
+// Where the settings forbid to call work off, the attempt went on when its client had left, and was written as soon as its
+// connection was up.
+#[test]
+fn a_request_whose_client_leaves_while_its_connection_comes_up_is_not_sent() {
+    std::thread::scope(|scope| {
+        let mut number = 150;
+        for how in WAYS {
+            for cancel in [false, true] {
+                scope.spawn(move || {
+                    let stage = Stage::new(number);
+                    let host = stage.slow_host(0, vec![Say::Row(b"second")]);
+                    let stage = stage.list(&[(&host, "up", "primary")]);
+                    let config = config(&stage, cancel);
+                    let gateway = stage.start_as(&config);
+                    let mut client = gateway.client();
+                    client.write(&named("first", "9b1f"));
+                    host.next_connection();
+                    let kept = leave(client, how);
+                    gateway.wait_for_counter("left=1 ");
+                    host.go();
+                    if !cancel {
+                        // Its connection is good for the next one.
+                        gateway.wait_for_counter(" NotWanted=1");
+                        gateway.rest();
+                    }
+                    let mut next = gateway.client();
+                    next.write(&named("second", "9b20"));
+                    if cancel {
+                        // The connection went with the attempt; the next request has one of its own.
+                        host.next_connection();
+                        host.go();
+                    }
+                    assert_eq!(kinds(&next.until_ready()), "TDCZ", "{how:?} {cancel}");
+                    assert!(host.next_query().contains("'second'"), "{how:?} {cancel}");
+                    assert_eq!(host.queries(), 1, "{how:?} {cancel}");
+                    drop(kept);
+                });
+                number += 1;
+            }
+        }
+    });
+}
+
+#[test]
+fn a_query_behind_another_is_not_sent_when_their_client_leaves() {
+    for (number, how) in (156..).zip(WAYS) {
+        let stage = Stage::new(number);
+        let host = stage.host(vec![Say::WaitForGo(b"first"), Say::Row(b"third")]);
+        let gateway = stage.list(&[(&host, "up", "primary")]).start();
+        let mut client = gateway.client();
+        client.write(&[named("first", "9b1f"), named("second", "9b20")].concat());
+        assert!(host.next_query().contains("'first'"));
+        let kept = leave(client, how);
+        gateway.wait_for_counter("left=1 ");
+        host.go();
+        let mut next = gateway.client();
+        next.write(&named("third", "9b1f"));
+        assert_eq!(kinds(&next.until_ready()), "TDCZ", "{how:?}: its name is free again");
+        assert!(host.next_query().contains("'third'"), "{how:?}");
+        drop(kept);
+    }
+}
+
+#[test]
+fn a_request_that_waits_for_a_host_is_forgotten_with_its_client() {
+    for (number, how) in (160..).zip(WAYS) {
+        let stage = Stage::new(number);
+        let host = stage.host(vec![Say::Row(b"second")]);
+        let up = stage.entries(&[(&host, "up", "primary")]);
+        let stage = stage.list(&[(&host, "draining", "primary")]);
+        let script = vec![
+            Act::Say(HEAD.to_vec()),
+            Act::WaitForGo,
+            Act::Say(chunk(&format!("{}\n", list(42, true, &up.replace("s-0", "s-1"))))),
+            Act::Beat,
+        ];
+        let config = stage.config();
+        let (gateway, source) = stage.start_scripted(&config, vec![script]);
+        let mut client = gateway.client();
+        client.write(&named("first", "9b1f"));
+        gateway.wait_for_counter("requests=1 ");
+        let kept = leave(client, how);
+        gateway.wait_for_counter("left=1 ");
+        source.go();
+        gateway.wait_for("lists=", |count| count >= 2);
+        let mut next = gateway.client();
+        next.write(&named("second", "9b1f"));
+        assert_eq!(kinds(&next.until_ready()), "TDCZ", "{how:?}");
+        assert!(host.next_query().contains("'second'"), "{how:?}");
+        assert_eq!(host.queries(), 1, "{how:?}");
+        drop(kept);
+    }
+}
+
+// A client that has sent more than is held is cut off, and is read no further but for its leaving.
+#[test]
+fn a_client_that_sends_much_at_once_and_goes_leaves_nothing_behind() {
+    for (number, how) in (164..).zip([Leave::Fin, Leave::Reset]) {
+        let stage = Stage::new(number);
+        let host = stage.slow_host(0, vec![Say::Row(b"second")]);
+        let stage = stage.list(&[(&host, "up", "primary")]);
+        let config = config(&stage, false);
+        let gateway = stage.start_as(&config);
+        let mut client = gateway.client();
+        client.write(&named("first", "9b1f").repeat(200));
+        host.next_connection();
+        leave(client, how);
+        gateway.wait_for_counter("left=1 ");
+        host.go();
+        gateway.wait_for_counter(" NotWanted=1");
+        gateway.rest();
+        let mut next = gateway.client();
+        next.write(&named("second", "9b1f"));
+        assert_eq!(kinds(&next.until_ready()), "TDCZ", "{how:?}");
+        assert!(host.next_query().contains("'second'"), "{how:?}");
+    }
+}
