Close what clients have begun before a stopping process may be killed; hold the accept queue

Cause, read off the code and then forced: src/net/front.rs kept a client that had just come for 0.5 s (FIRST_WORD) and a message that had begun for 2 s (LAST_MESSAGE), whatever the settings say; with deadlines of 0.2 s the kill comes at 0.9 s, and what was sent on such a connection behind 0.7 s was lost. Desk::longest() took the classes in force alone, so a reload that makes deadlines longer right before SIGTERM put the last answers off beyond the kill of those who reckon with the old ones.

Change: Front::last is the time of the last answers. From then on nothing more is read, what was read is refused at once, and connections end. Within 2 s of a reload the shorter of the old and new longest deadlines counts. The accept loop counts as held until its listener is closed; read off the code, no test fails without that.

--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -294,10 +294,12 @@
         let _ = self.router.follow(whole(&self.settings, &self.rules));
     }
 
-    /// The longest deadline of any class in force.
-    pub fn longest(&self) -> Time {
-        let deadlines = self.rules.force().iter().map(|place| self.rules.class(*place).deadline);
-        deadlines.max().unwrap_or(0)
+    /// The longest deadline of any class in force; shortly after a change, when others may not know of it, that of the
+    /// classes before it if that is shorter.
+    pub fn longest(&self, now: Time) -> Time {
+        let longest = |places: &[usize]| places.iter().map(|place| self.rules.class(*place).deadline).max();
+        let force = longest(self.rules.force()).unwrap_or(0);
+        longest(self.rules.before(now)).map_or(force, |before| before.min(force))
     }
 
     /// Whether the request still waits for its end.
--- a/crates/lifecycle/src/rules.rs
+++ b/crates/lifecycle/src/rules.rs
@@ -72,10 +72,19 @@
         &self.force
     }
 
+    /// Places of the classes before the last change, while clients may not know of it.
+    pub fn before(&self, now: Time) -> &[usize] {
+        if now < self.until {
+            &self.before
+        } else {
+            &[]
+        }
+    }
+
     /// The place of the class that a new request names; `keyed`: the request carries a key.
     pub fn find(&self, now: Time, name: &str, keyed: bool) -> Option<usize> {
         let named = |places: &[usize]| places.iter().copied().find(|place| self.table[*place].name == name);
-        let before = || named(&self.before).filter(|_| now < self.until);
+        let before = || named(self.before(now));
         match named(&self.force) {
             None => before(),
             Some(place) if keyed || !asks_for_key(self.class(place)) => Some(place),
@@ -88,9 +97,7 @@
     /// has changed, if the table would grow past its bound.
     pub fn follow(&mut self, now: Time, classes: Vec<Class>, used: &BTreeSet<usize>) -> Result<(), Full> {
         let mut taken: BTreeSet<usize> = used.iter().chain(&self.force).copied().collect();
-        if now < self.until {
-            taken.extend(&self.before);
-        }
+        taken.extend(self.before(now));
         if mutant(Mutant::PlaceReused) {
             taken.clear();
         }
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -131,9 +131,9 @@
         self.0.desk.borrow_mut().answer_by(at);
     }
 
-    /// The longest deadline of any class in force.
-    pub fn longest(&self) -> Time {
-        self.0.desk.borrow().longest()
+    /// The longest deadline of any class in force; see [`Desk::longest`].
+    pub fn longest(&self, now: Time) -> Time {
+        self.0.desk.borrow().longest(now)
     }
 
     /// Counts the settings that were in force, from 1.
--- a/src/main.rs
+++ b/src/main.rs
@@ -158,6 +158,7 @@
         door,
         open: Gauge::default(),
         ids: RefCell::default(),
+        last: Cell::new(Time::MAX),
     });
     let accepted = front.clone();
     tasks.spawn_local(async move {
@@ -206,7 +207,8 @@
         match life.on(clock.now(), event) {
             Do::Doors if event == Event::Stop => {
                 log::info!("stopping");
-                facade.answer_by(life.answers_by(facade.longest()));
+                front.last.set(life.answers_by(facade.longest(clock.now())));
+                facade.answer_by(front.last.get());
                 leaving.iter().for_each(|duties| duties.leave());
             }
             Do::Doors | Do::Wait => {}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -20,7 +20,7 @@
 use petrelgauge_lifecycle::gateway::Door;
 use petrelgauge_sessions::Wallet;
 use socket2::SockRef;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
@@ -60,6 +60,8 @@
     pub open: Gauge,
     /// What clients call their open requests.
     pub ids: RefCell<BTreeSet<Rc<str>>>,
+    /// Clock time of the last answers before the process may be killed, once it is to stop.
+    pub last: Cell<Time>,
 }
 
 impl Front {
@@ -67,6 +69,8 @@
     /// as taken, and so what is there goes before the stop; unless the socket is `shared` with the process that
     /// comes next, whose they are.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, shared: bool) {
+        // Whoever waits to be accepted is held too, up to the moment at which the listener is closed.
+        let _accepting = self.open.enter();
         let (mut number, mut failing) = (0u32, false);
         let mut door = self.door.clone();
         loop {
@@ -216,13 +220,17 @@
                 },
             };
         }
+        // The process may be killed soon: nothing more is read, and what was read is answered first.
+        if door.borrow().empties() && self.late() && !self.inbox.holds(life.stage()) {
+            return Happens::Stop { unread: false }.into();
+        }
         let (why, since) = life.idleness();
         let _idle = front.budget.idle(why, since, &shed);
         // A client that has just come is about to say something.
         let close_from = self.close_from.max(if why == Idleness::New { since + FIRST_WORD } else { since });
         let closed = async {
             let wished = door.wait_for(|door| door.empties()).await.is_ok();
-            clock.sleep_until(close_from).await;
+            clock.sleep_until(close_from.min(front.last.get())).await;
             wished
         };
         tokio::select! {
@@ -237,7 +245,8 @@
                 Happens::Shed { unread }.into()
             }
             _ = closed => {
-                let begun = !self.inbox.framer.is_empty() && clock.now() < since + LAST_MESSAGE;
+                let last = front.last.get().min(since + LAST_MESSAGE);
+                let begun = !self.inbox.framer.is_empty() && clock.now() < last;
                 let unread = self.unread(life.stage()).await;
                 self.close_from = if begun { clock.now() + LOOK } else { self.close_from };
                 Happens::Stop { unread: unread || begun }.into()
@@ -264,6 +273,11 @@
         unread
     }
 
+    /// The last answers of a stop were due.
+    fn late(&self) -> bool {
+        self.front.clock.now() >= self.front.last.get()
+    }
+
     /// The connection is to end so, since what came on it made no sense.
     fn flawed(&self, end: End) -> bool {
         self.inbox.flaw.is_some_and(|(flaw, _)| flaw.end == end)
@@ -462,6 +476,9 @@
     async fn decide(&mut self, taken: &Taken) -> Result<Final, End> {
         let front = self.front.clone();
         front.counters.requests.add();
+        if self.late() {
+            return Ok(Final::Refused { wait: 0 });
+        }
         let mut ticket = front.facade.admit(taken.request.clone());
         let (mut asked, mut given, mut left) = (Asked::default(), None, End::ClientLeft);
         let mut attempt: Option<JoinHandle<Option<Given>>> = None;
