Keep another customer's settings out: letters, early signals, waits over a reload

Cause, read off the code and then forced: - src/main.rs listened to signals only after the configuration was read and half the gateway built: a SIGHUP for a new configuration that met a process just started ended it (the default of a signal nobody listens to). - src/net/handover.rs read every letter in $TMPDIR: of two gateways that share a folder each started from what the other had learned, and kept to what the other left of its own limits. - front.rs read_statement() held a client's wait against the new deadline at once; clients learn of a reload 1.2 s later, so after a shorter deadline their requests were answered 22023. - Settings::check() refused to start with an aim past its deadline, which does no harm.

Change: net/signals.rs listens before anything is read, and tells of a new file before a stop; letters name their gateway (address and name) and a digest of the settings: another gateway's are left alone with one line, of other settings what was learned is left aside and who runs is still counted. The class before a change sets how long clients may wait for 2 s more. Aims are cut to their deadline.

Result: tests/customers.rs; on the program before, its four tests fail (three in the run to its end, letters_of_... by waiting for a line that never comes).

--- a/crates/handover/src/letter.rs
+++ b/crates/handover/src/letter.rs
@@ -11,12 +11,18 @@
 pub const MOST_BYTES: usize = 1024 * 1024;
 const MARK: &[u8; 6] = b"petrel";
 /// Raised with every change of what a letter holds: a process of another build starts cold.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
+/// Longest name of a gateway in a letter (bytes); what is longer is cut.
+const MOST_OWNER: usize = 256;
 const CHECK: usize = 4;
 
 /// What a process leaves for the next.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Letter {
+    /// The gateway that its writer is a process of: gateways that share a machine may share a folder.
+    pub owner: String,
+    /// A digest of the settings that its writer goes by.
+    pub settings: u64,
     /// Its writer, by a number that no other process has.
     pub writer: u64,
     /// When it was written, by the clock of the machine that both run on.
@@ -47,6 +53,23 @@
     /// Written at a time that has not come: the clock was set back.
     #[error("it is of a time to come")]
     Ahead,
+    /// Learned by other settings: what a class's answers told of a member means something else.
+    #[error("it was written by other settings")]
+    Settings,
+}
+
+/// A gateway, as its letters name it.
+pub fn owner(name: &str, listen: &str) -> String {
+    let mut owner = format!("{listen} {name}");
+    while owner.len() > MOST_OWNER {
+        owner.pop();
+    }
+    owner
+}
+
+/// A number of a gateway for the names of its files. Two may share one: what a letter says of its owner decides.
+pub fn mark(owner: &str) -> u32 {
+    crc32c::crc32c(owner.as_bytes())
 }
 
 impl Letter {
@@ -57,7 +80,8 @@
             return whole;
         }
         // That it runs must be told whatever it knows.
-        Letter { numbers: Vec::new(), beliefs: Beliefs::default(), ..*self }.bytes()
+        let (owner, numbers, beliefs) = (self.owner.clone(), Vec::new(), Beliefs::default());
+        Letter { owner, numbers, beliefs, ..*self }.bytes()
     }
 
     fn bytes(&self) -> Vec<u8> {
@@ -88,6 +112,15 @@
         }
     }
 
+    /// Whether what it tells was learned by these settings.
+    pub fn fits(&self, settings: u64) -> Result<(), LetterError> {
+        if self.settings == settings {
+            Ok(())
+        } else {
+            Err(LetterError::Settings)
+        }
+    }
+
     /// How old it is, if that is no more than `most`.
     pub fn age(&self, now: Time, most: Time) -> Result<Time, LetterError> {
         match now.saturating_sub(self.written) {
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -11,7 +11,8 @@
 //! | `letter.rs` | a letter and its bytes: version, checksum, bounds |
 //! | `company.rs` | who runs beside this process, and this process's part |
 //!
-//! **Promises.** A letter that is torn, of another version, too old or of another time is refused with its reason, and
+//! **Promises.** A letter of another gateway is left alone: nothing of it is used, and it is not taken away. What was
+//! learned by other settings is not used; that its writer runs is. A letter that is torn, of another version, too old or of another time is refused with its reason, and
 //! nothing of it is used. What the others hold is never counted as free.
 //!
 //! **Bounds.** A letter has [`MOST_BYTES`] at most; one that would have more leaves out the beliefs. Company is counted
@@ -30,4 +31,4 @@
 pub mod company;
 mod letter;
 
-pub use letter::{Letter, LetterError, MOST_BYTES};
+pub use letter::{mark, owner, Letter, LetterError, MOST_BYTES};
--- a/crates/handover/tests/letters.rs
+++ b/crates/handover/tests/letters.rs
@@ -119,3 +119,16 @@
         prop_assert!(Letter::decode(&changed).is_err());
     }
 }
+
+#[test]
+fn what_was_learned_by_other_settings_does_not_fit_and_a_long_name_is_cut() {
+    let letter = Letter { settings: 7, ..letter() };
+    let read = Letter::decode(&letter.encode()).expect("whole");
+    assert_eq!((read.fits(7), read.fits(8)), (Ok(()), Err(LetterError::Settings)));
+    let owner = petrelgauge_handover::owner(&"ü".repeat(4000), "127.0.0.1:5433");
+    assert!(owner.len() <= 256 && owner.starts_with("127.0.0.1:5433 ü"));
+    assert_ne!(
+        petrelgauge_handover::owner("n1", "127.0.0.1:5433"),
+        petrelgauge_handover::owner("n1", "127.0.0.1:5434")
+    );
+}
--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -287,6 +287,11 @@
         Some((place, self.rules.class(place).clone()))
     }
 
+    /// The longest that clients of this class wait; see [`Rules::longest_wait`].
+    pub fn longest_wait(&self, now: Time, name: &str) -> Time {
+        self.rules.longest_wait(now, name)
+    }
+
     /// Every request that is taken in from now on has its final answer by this time.
     pub fn answer_by(&mut self, at: Time) {
         self.settings.last = at;
--- a/crates/lifecycle/src/rules.rs
+++ b/crates/lifecycle/src/rules.rs
@@ -81,6 +81,14 @@
         }
     }
 
+    /// The longest that clients of the classes of this name wait: those of the class before a change, too, while they may
+    /// not know of it.
+    pub fn longest_wait(&self, now: Time, name: &str) -> Time {
+        let places = self.force.iter().chain(self.before(now));
+        let named = places.map(|place| &self.table[*place]).filter(|class| class.name == name);
+        named.map(|class| class.deadline).max().unwrap_or(0)
+    }
+
     /// The place of the class that a new request names; `keyed`: the request carries a key.
     pub fn find(&self, now: Time, name: &str, keyed: bool) -> Option<usize> {
         let named = |places: &[usize]| places.iter().copied().find(|place| self.table[*place].name == name);
@@ -183,6 +191,17 @@
         assert_eq!(rules.find(OVERLAP, "a", false), None);
     }
 
+    #[test]
+    fn clients_wait_as_the_class_before_a_change_has_it_until_they_know() {
+        let mut rules = two();
+        let longer = Class { deadline: 9, ..class("a", Effect::Safe) };
+        rules.follow(0, vec![longer, class("b", KEYED)], &BTreeSet::new()).expect("room");
+        rules.follow(OVERLAP, vec![class("a", Effect::Safe)], &BTreeSet::new()).expect("room");
+        assert_eq!(rules.longest_wait(2 * OVERLAP - 1, "a"), 9);
+        assert_eq!(rules.longest_wait(2 * OVERLAP, "a"), 2);
+        assert_eq!(rules.longest_wait(2 * OVERLAP, "c"), 0);
+    }
+
     #[test]
     fn a_class_that_comes_to_ask_for_a_key_is_as_before_for_clients_that_bring_none() {
         let mut rules = two();
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -126,6 +126,11 @@
         self.0.desk.borrow().find(now, name, keyed)
     }
 
+    /// The longest that clients of this class wait; see [`Desk::longest_wait`].
+    pub fn longest_wait(&self, now: Time, name: &str) -> Time {
+        self.0.desk.borrow().longest_wait(now, name)
+    }
+
     /// Every request that is taken in from now on has its final answer by this time.
     pub fn answer_by(&self, at: Time) {
         self.0.desk.borrow_mut().answer_by(at);
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,7 @@
 use petrelgauge::net::peers::Peers;
 use petrelgauge::net::room::Room;
 use petrelgauge::net::share_out::{ShareOut, SHARES};
+use petrelgauge::net::signals::{Signals, Told};
 use petrelgauge::{Class, Need, Settings, Time};
 use petrelgauge_handover::company::Held;
 use petrelgauge_lifecycle::backoff::Backoff;
@@ -31,7 +32,6 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
@@ -51,11 +51,14 @@
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let ran = Config::read(|name| std::env::var(name).ok()).and_then(|config| {
-        let inherited = inherited::listener(|name| std::env::var(name).ok())?;
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|cause| format!("cannot start: {cause}"))?;
-        tokio::task::LocalSet::new().block_on(&runtime, run(config, inherited))
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|cause| format!("cannot start: {cause}"));
+    let ran = runtime.and_then(|runtime| {
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let signals = Signals::listen()?;
+            let var = |name: &str| std::env::var(name).ok();
+            run(Config::read(var)?, inherited::listener(var)?, signals).await
+        })
     });
     match ran {
         Ok(()) => ExitCode::SUCCESS,
@@ -66,7 +69,11 @@
     }
 }
 
-async fn run(mut config: Config, inherited: Option<std::net::TcpListener>) -> Result<(), String> {
+async fn run(
+    mut config: Config,
+    inherited: Option<std::net::TcpListener>,
+    mut signals: Signals,
+) -> Result<(), String> {
     let mut settings = settings(&config)?;
     let whole = Rc::new(Cell::new(whole(&config, &settings)));
     let (classes, gateways) = (settings.classes.clone(), settings.routers);
@@ -78,8 +85,9 @@
         .map_err(|cause| format!("settings: {cause}"))?;
     // Where the platform holds the clients' socket, another process of this gateway may run, or have run a moment ago.
     let shared = inherited.is_some();
-    let handover =
-        shared.then(|| Rc::new(Handover::new(std::env::temp_dir(), config.seed ^ std::process::id() as u64)));
+    let writer = config.seed ^ std::process::id() as u64;
+    let (folder, name) = (std::env::temp_dir(), &config.name);
+    let handover = shared.then(|| Rc::new(Handover::new(folder, name, config.listen, writer, config.digest)));
     let inherit = handover.as_ref().and_then(|handover| handover.inherit(clock.now()));
     let given = inherit.map_or_else(Vec::new, |(letter, age)| {
         log::info!("starting from what was learned {} ms ago of {} hosts", age / 1000, letter.numbers.len());
@@ -109,12 +117,6 @@
     let listener = inherited.map_or_else(|| listen(config.listen), TcpListener::from_std);
     let listener = listener.map_err(|cause| format!("cannot listen: {cause}"))?;
     let (desk, mut asked) = mpsc::channel(MOST_CALLERS);
-    let (mut term, mut interrupt, mut usr1, mut hangup) = (
-        on(SignalKind::terminate())?,
-        on(SignalKind::interrupt())?,
-        on(SignalKind::user_defined1())?,
-        on(SignalKind::hangup())?,
-    );
     let (discovery, moved) = watch::channel(config.discovery);
 
     let mut tasks = JoinSet::new();
@@ -175,14 +177,17 @@
         doors.send_if_modified(|door| std::mem::replace(door, life.door()) != life.door());
         let due = life.due();
         let event = tokio::select! {
-            _ = usr1.recv() => {
-                print(&counters);
-                continue;
-            }
-            _ = hangup.recv() => {
-                reread = config.reread(|name| std::env::var(name).ok());
-                Event::Reload { usable: reread.is_ok() }
-            }
+            told = signals.next() => match told {
+                Told::Count => {
+                    print(&counters);
+                    continue;
+                }
+                Told::Reread => {
+                    reread = config.reread(|name| std::env::var(name).ok());
+                    Event::Reload { usable: reread.is_ok() }
+                }
+                Told::Stop => Event::Stop,
+            },
             Some((call, answer)) = asked.recv() => {
                 let known = Known { hosts: hosts.named(), told: told.get(), patience_until, version: facade.version() };
                 let (reply, to_do) = ops::call(&mut life, clock.now(), call, known);
@@ -193,8 +198,6 @@
                 let _ = answer.send(reply);
                 continue;
             }
-            _ = term.recv() => Event::Stop,
-            _ = interrupt.recv() => Event::Stop,
             () = clock.sleep_until(due.unwrap_or_default()), if due.is_some() => Event::Due,
             () = clock.sleep_until(clock.now() + LOOK), if life.stage() == Stage::Closing => {
                 Event::Held { clients: front.open.get(), attempts: hosts.out() }
@@ -220,6 +223,7 @@
                         let (at, version) = (new.discovery, facade.version());
                         log::info!("configuration read again, discovery is at {at}, settings {version} hold");
                         whole.set(Held { open: open as usize, ..whole.get() });
+                        handover.iter().for_each(|handover| handover.follow(new.digest));
                         discovery.send_if_modified(|known| std::mem::replace(known, at) != at);
                         config = new;
                     }
@@ -317,10 +321,6 @@
     socket.listen(BACKLOG)
 }
 
-fn on(kind: SignalKind) -> Result<Signal, String> {
-    signal(kind).map_err(|cause| format!("cannot listen to signals: {cause}"))
-}
-
 /// The settings of a configuration, as this gateway keeps them.
 fn settings(config: &Config) -> Result<Settings, String> {
     let mut settings = config.info.settings().map_err(|cause| format!("settings: {cause}"))?;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -5,7 +5,9 @@
 use crate::settings::Info;
 use serde::Deserialize;
 use serde_json::Value;
+use std::collections::hash_map::DefaultHasher;
 use std::collections::BTreeSet;
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
 /// All that a gateway is told.
@@ -29,6 +31,8 @@
     pub known: Option<List>,
     /// The settings.
     pub info: Info,
+    /// A digest of them: what is the same is written the same, whatever the order of its keys.
+    pub digest: u64,
     /// The keys that they have, by their paths.
     keys: BTreeSet<String>,
     /// Where other instances reach this one, and where it reaches all of them, its own place among them.
@@ -133,6 +137,8 @@
         let file: File = serde_json::from_str(text).map_err(|cause| cause.to_string())?;
         let mut keys = BTreeSet::new();
         list_keys("", &file.settings, &mut keys);
+        let mut hasher = DefaultHasher::new();
+        file.settings.to_string().hash(&mut hasher);
         let info = Info::deserialize(file.settings).map_err(|cause| format!("settings: {cause}"))?;
         let either = |name: &str, value: Option<String>, first: First| {
             let found = if first == First::File { value.or_else(|| var(name)) } else { var(name).or(value) };
@@ -156,6 +162,7 @@
             memory: file.limits.memory_mb.saturating_mul(1024 * 1024),
             known: file.known,
             info,
+            digest: hasher.finish(),
             keys,
             peer_listen: file.peer_listen.map(|text| listed("peer_listen", &text)).transpose()?,
             peers: file.peers.iter().map(|text| listed("peers", text)).collect::<Result<_, _>>()?,
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -382,7 +382,7 @@
         }
         // Two tries' time would be generous; no client of the class waits longer than its deadline.
         let wait = (statement.wait_ms as Time).saturating_mul(1000);
-        if wait > class.deadline.saturating_mul(2) {
+        if wait > self.front.facade.longest_wait(at, &class.name).saturating_mul(2) {
             return unusable("22023", "its class gives no request so long a time");
         }
         if !self.front.facade.may_serve(statement.cluster) {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -6,12 +6,13 @@
 use crate::net::clock::Clock;
 use crate::Time;
 use petrelgauge_handover::company::{Company, Held, PACE};
-use petrelgauge_handover::{Letter, LetterError, MOST_BYTES};
+use petrelgauge_handover::{mark, owner, Letter, LetterError, MOST_BYTES};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::Read;
-use std::path::{Path, PathBuf};
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 /// What a process has learned is of use to the next for so long (microseconds): samples are of the last seconds, roles
@@ -19,29 +20,46 @@
 const USEFUL: Time = 10_000_000;
 /// A letter that nobody has renewed for so long is removed (microseconds).
 const FORGOTTEN: Time = 60_000_000;
-/// Letters that are read at most (count). There are two processes, three by mistake.
+/// Letters of this gateway, and of others, that are read at most (count). There are two processes, three by mistake.
 const MOST_LETTERS: usize = 8;
 const PREFIX: &str = "petrelgauge-";
 const SUFFIX: &str = ".letter";
 
 /// This process's letters, and those of the others.
 pub struct Handover {
+    desk: Desk,
+    /// A digest of the settings in force.
+    settings: Cell<u64>,
+    company: RefCell<Company>,
+}
+
+/// Where letters lie, and who writes here.
+#[derive(Clone)]
+struct Desk {
     folder: PathBuf,
+    /// The gateway.
+    owner: String,
     /// A number that no other process of the gateway has.
     writer: u64,
-    company: RefCell<Company>,
 }
 
 impl Handover {
-    /// Letters in this folder.
-    pub fn new(folder: PathBuf, writer: u64) -> Handover {
-        Handover { folder, writer, company: RefCell::default() }
+    /// Letters in this folder, of the gateway of this name that listens there, by a process that goes by settings with
+    /// this digest.
+    pub fn new(folder: PathBuf, name: &str, listen: SocketAddr, writer: u64, settings: u64) -> Handover {
+        let desk = Desk { folder, owner: owner(name, &listen.to_string()), writer };
+        Handover { desk, settings: Cell::new(settings), company: RefCell::default() }
+    }
+
+    /// Settings with this digest hold from now on.
+    pub fn follow(&self, settings: u64) {
+        self.settings.set(settings);
     }
 
     /// The letter of the process that served last, if it is of use, and how old it is.
     pub fn inherit(&self, now: Time) -> Option<(Letter, Time)> {
         let letters = self.others(now).into_iter().filter_map(|letter| {
-            let age = letter.age(now, USEFUL);
+            let age = letter.fits(self.settings.get()).and_then(|()| letter.age(now, USEFUL));
             age.map(|age| (letter, age)).map_err(|cause| log::warn!("a letter is left aside: {cause}")).ok()
         });
         letters.filter(|(letter, _)| !letter.beliefs.is_empty()).min_by_key(|(_, age)| *age)
@@ -49,7 +67,10 @@
 
     /// Letters of the others that can be read. Also remembers who runs.
     fn others(&self, now: Time) -> Vec<Letter> {
-        let (letters, torn) = others(&self.folder, self.writer, now);
+        let (letters, torn, foreign) = self.desk.others(now);
+        if let Some(owner) = foreign.first() {
+            log::warn!("{} letters of other gateways are left alone, the first of {owner}", foreign.len());
+        }
         torn.iter().for_each(|cause| log::warn!("a letter is left aside: {cause}"));
         self.heard(&letters);
         letters
@@ -63,7 +84,7 @@
 
     /// Takes this process's letter away: it is over.
     pub fn withdraw(&self) {
-        let _ = fs::remove_file(own(&self.folder, self.writer));
+        let _ = fs::remove_file(self.desk.own());
     }
 
     /// Writes and reads letters for as long as the gateway runs, and keeps to what the others leave of the whole.
@@ -80,21 +101,21 @@
             let now = clock.now();
             let numbers = numbers.borrow().iter().map(|(name, id)| (name.clone(), *id)).collect();
             let held = Held { open: facade.open(), ..budget.held() };
-            let letter =
-                Letter { writer: self.writer, written: now, held, numbers, beliefs: facade.beliefs() };
-            let (folder, writer, bytes) = (self.folder.clone(), self.writer, letter.encode());
+            let (desk, settings, beliefs) = (self.desk.clone(), self.settings.get(), facade.beliefs());
+            let (owner, writer) = (desk.owner.clone(), desk.writer);
+            let bytes = Letter { owner, settings, writer, written: now, held, numbers, beliefs }.encode();
             // On a thread of its own: a write takes up to 0.4 s here where the disk is busy, and nobody who is served
             // may wait for it.
             let exchanged = tokio::task::spawn_blocking(move || {
-                let written = write(&folder, writer, &bytes);
-                (written, others(&folder, writer, now))
+                let written = desk.write(&bytes);
+                (written, desk.others(now))
             });
-            let Ok((written, (letters, _))) = exchanged.await else { continue };
+            let Ok((written, (letters, ..))) = exchanged.await else { continue };
             self.heard(&letters);
             match written {
                 Ok(()) => failing = false,
                 Err(cause) if !std::mem::replace(&mut failing, true) => {
-                    log::warn!("cannot leave a letter in {}: {cause}", self.folder.display());
+                    log::warn!("cannot leave a letter in {}: {cause}", self.desk.folder.display());
                 }
                 Err(_) => {}
             }
@@ -113,41 +134,55 @@
     }
 }
 
-/// Letters in the folder that another than this writer left, and why some cannot be read. Old ones are removed.
-fn others(folder: &Path, writer: u64, now: Time) -> (Vec<Letter>, Vec<LetterError>) {
-    let (mut letters, mut torn) = (Vec::new(), Vec::new());
-    for path in paths(folder) {
-        match read(&path) {
-            Ok(letter) if letter.writer == writer => {}
-            Ok(letter) if now.saturating_sub(letter.written) > FORGOTTEN => drop(fs::remove_file(&path)),
-            Ok(letter) => letters.push(letter),
-            Err(cause) => torn.push(cause),
+impl Desk {
+    /// Letters that other processes of this gateway left, why some cannot be read, and whose the others are. Old ones of
+    /// this gateway are removed.
+    fn others(&self, now: Time) -> (Vec<Letter>, Vec<LetterError>, Vec<String>) {
+        let (mut letters, mut torn, mut foreign) = (Vec::new(), Vec::new(), Vec::new());
+        for path in self.paths() {
+            match read(&path) {
+                Ok(letter) if letter.owner != self.owner => foreign.push(letter.owner),
+                Ok(letter) if letter.writer == self.writer => {}
+                Ok(letter) if now.saturating_sub(letter.written) > FORGOTTEN => drop(fs::remove_file(&path)),
+                Ok(letter) => letters.push(letter),
+                Err(cause) => torn.push(cause),
+            }
         }
+        (letters, torn, foreign)
     }
-    (letters, torn)
-}
 
-fn paths(folder: &Path) -> Vec<PathBuf> {
-    let named = |path: &PathBuf| {
-        let name = path.file_name().and_then(|name| name.to_str());
-        name.is_some_and(|name| name.starts_with(PREFIX) && name.ends_with(SUFFIX))
-    };
-    let entries = fs::read_dir(folder).into_iter().flatten().flatten();
-    entries.map(|entry| entry.path()).filter(named).take(MOST_LETTERS).collect()
-}
+    /// The names that letters of this gateway begin with: so many others as there may be, they are found.
+    fn prefix(&self) -> String {
+        format!("{PREFIX}{:08x}-", mark(&self.owner))
+    }
 
-fn own(folder: &Path, writer: u64) -> PathBuf {
-    folder.join(format!("{PREFIX}{writer:016x}{SUFFIX}"))
-}
+    fn paths(&self) -> Vec<PathBuf> {
+        let (mut own, mut rest, prefix) = (Vec::new(), Vec::new(), self.prefix());
+        for path in fs::read_dir(&self.folder).into_iter().flatten().flatten().map(|entry| entry.path()) {
+            let name = path.file_name().and_then(|name| name.to_str()).filter(|name| name.ends_with(SUFFIX));
+            match name {
+                Some(name) if name.starts_with(&prefix) && own.len() < MOST_LETTERS => own.push(path),
+                Some(name) if name.starts_with(PREFIX) && rest.len() < MOST_LETTERS => rest.push(path),
+                _ => {}
+            }
+        }
+        own.extend(rest);
+        own
+    }
+
+    fn own(&self) -> PathBuf {
+        self.folder.join(format!("{}{:016x}{SUFFIX}", self.prefix(), self.writer))
+    }
 
-/// Writes a letter, whole or not at all.
-fn write(folder: &Path, writer: u64, bytes: &[u8]) -> std::io::Result<()> {
-    let half = folder.join(format!("{PREFIX}{writer:016x}.half"));
-    fs::write(&half, bytes)?;
-    fs::rename(&half, own(folder, writer))
+    /// Writes a letter, whole or not at all.
+    fn write(&self, bytes: &[u8]) -> std::io::Result<()> {
+        let half = self.own().with_extension("half");
+        fs::write(&half, bytes)?;
+        fs::rename(&half, self.own())
+    }
 }
 
-fn read(path: &Path) -> Result<Letter, LetterError> {
+fn read(path: &std::path::Path) -> Result<Letter, LetterError> {
     let mut bytes = Vec::new();
     let file = fs::File::open(path).map_err(|_| LetterError::Torn)?;
     file.take(MOST_BYTES as u64 + 1).read_to_end(&mut bytes).map_err(|_| LetterError::Torn)?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,5 +23,6 @@
 pub mod room;
 pub mod set;
 pub mod share_out;
+pub mod signals;
 mod source;
 pub mod statement;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -159,7 +159,8 @@
                 need: need(family, place, &class.name)?,
                 effect: effect(class)?,
                 attempts: self.bounds.attempts_cap,
-                aim: class.aim_us,
+                // An aim past the deadline is never looked at: it is no reason not to start.
+                aim: class.aim_us.min(class.deadline_us),
                 deadline: class.deadline_us,
                 worth: class.points,
                 late_share: class.late_share,
--- /dev/null
+++ b/tests/customers.rs
@@ -0,0 +1,115 @@
+//! Whose settings: what belongs to another gateway, another customer or another moment stays out of this one.
+
+mod stage;
+use stage::*;
+use std::io::Write;
+use std::process::Command;
+
+fn rows() -> Vec<Say> {
+    (0..50).map(|_| Say::Row(b"v")).collect()
+}
+
+// A signal that nobody listened to yet ended the process: a new configuration, told of to a whole fleet while it starts.
+#[test]
+fn a_new_configuration_that_is_told_of_while_the_old_one_is_read_is_read_too() {
+    let stage = Stage::new(205);
+    let host = stage.host(rows());
+    let stage = stage.list(&[(&host, "up", "primary")]);
+    let config = stage.config();
+    // It reads its file for as long as the test likes.
+    let path = format!("{}/{}.pipe", env!("CARGO_TARGET_TMPDIR"), stage.listen);
+    let _ = std::fs::remove_file(&path);
+    assert!(Command::new("mkfifo").arg(&path).status().expect("mkfifo is there").success());
+    let gateway = stage.start_env(&config, &[("GW_CONFIG", &path)]);
+    let mut file = std::fs::OpenOptions::new().write(true).open(&path).expect("it reads");
+    file.write_all(&config.as_bytes()[..20]).expect("it reads");
+    gateway.signal("HUP");
+    file.write_all(&config.as_bytes()[20..]).expect("it reads on");
+    drop(file);
+    gateway.line_with("serves at");
+    std::fs::write(&path, config.replace("30000000", "20000000")).expect("it reads again");
+    gateway.line_with("configuration read again");
+    let _ = std::fs::remove_file(&path);
+}
+
+// Where two gateways of a machine share a folder, each read the other's letters: it started from what the other had
+// learned, and kept to what the other left of its own limits.
+#[test]
+fn letters_of_another_gateway_are_left_alone() {
+    let (mut one, mut other) = (Stage::new(206).shared(), Stage::new(207).shared());
+    let hosts = [one.host(rows()), other.host(rows())];
+    one = one.list(&[(&hosts[0], "up", "primary")]);
+    other = other.list(&[(&hosts[1], "up", "primary")]).share(one.folder());
+    [&one, &other].iter().for_each(|stage| stage.discover());
+    let first = one.beside();
+    first.call_until(b"ready\n", "YES");
+    assert_eq!(kinds(&first.client().ask(&select("a", "view", 20_000))), "TDCZ");
+    let letters = || std::fs::read_dir(one.folder()).expect("a folder").count();
+    // Its letter is there, and it is one that tells something, before the other starts.
+    let begun = std::time::Instant::now();
+    while letters() == 0 && begun.elapsed().as_secs() < 60 {
+        first.rest();
+    }
+    let second = other.start_env(&other.config(), &[]);
+    let line = second.line_with("left alone");
+    assert!(line.contains("1 letters of other gateways") && line.contains(&one.listen), "{line}");
+    second.line_with("serves at");
+    let mut client = second.client();
+    assert_eq!(kinds(&client.ask(&select("a", "view", 20_000))), "TDCZ");
+    second.rest();
+    for mut gateway in [first, second] {
+        gateway.signal("TERM");
+        let (code, log) = gateway.ended();
+        assert_eq!(code, Some(0), "{log}");
+        assert!(!log.contains("other processes of this gateway"), "{log}");
+        assert!(!log.contains("starting from"), "{log}");
+    }
+}
+
+// What its clients wait was held against the new deadline as soon as that was there.
+#[test]
+fn clients_that_do_not_know_of_a_shorter_deadline_yet_are_served() {
+    let stage = Stage::new(208);
+    let host = stage.host(rows());
+    let stage = stage.list(&[(&host, "up", "primary")]);
+    let config = stage.config();
+    let gateway = stage.start_as(&config);
+    let mut client = gateway.client();
+    assert_eq!(kinds(&client.ask(&select("a", "view", 25_000))), "TDCZ");
+    gateway.configure(&config.replace("\"deadline_us\":30000000", "\"deadline_us\":6000000"));
+    gateway.line_with("configuration read again");
+    assert_eq!(kinds(&client.ask(&select("b", "view", 25_000))), "TDCZ");
+    std::thread::sleep(std::time::Duration::from_millis(2_200));
+    let answer = client.ask(&select("c", "view", 25_000));
+    assert_eq!((kinds(&answer).as_str(), field(&answer[0].1, b'C').as_str()), ("EZ", "22023"));
+}
+
+#[test]
+fn figures_that_are_odd_and_can_be_kept_to_are_no_reason_not_to_start() {
+    let odd = [
+        ("\"aim_us\":4000000", "\"aim_us\":40000000"),
+        ("\"connect_timeout_us\":250000", "\"connect_timeout_us\":20000000"),
+        ("\"max_retry_after_us\":500000,\"retry_after\":true", "\"retry_after\":false"),
+        ("\"attempts_cap\":8", "\"attempts_cap\":1"),
+        ("\"cold_us\":16000000", "\"cold_us\":0"),
+        ("\"fall_us\":1000000", "\"fall_us\":0"),
+        ("\"name\":\"post\"", "\"name\":\"view-2\""),
+        ("\"late_share\":0.5", "\"late_share\":0.0"),
+        ("\"points\":4.0", "\"points\":0.0"),
+        ("\"window_us\":30000000", "\"window_us\":0"),
+        ("\"granularity_us\":5000", "\"granularity_us\":20000"),
+        ("\"cancel\":true", "\"cancel\":false"),
+    ];
+    let stage = Stage::new(209);
+    let host = stage.host((0..50).map(|_| Say::Row(b"v")).collect());
+    let stage = stage.list(&[(&host, "up", "primary")]);
+    for (usual, odd) in odd {
+        let config = stage.config();
+        assert!(config.contains(usual), "{usual}");
+        let mut gateway = stage.start_with(&config.replace(usual, odd));
+        gateway.line_with("serves at");
+        assert_eq!(kinds(&gateway.client().ask(&select("a", "view", 20_000))), "TDCZ", "{odd}");
+        gateway.signal("TERM");
+        assert_eq!(gateway.ended().0, Some(0), "{odd}");
+    }
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -340,6 +340,12 @@
         self
     }
 
+    /// Its processes share the folder of another gateway.
+    pub fn share(mut self, folder: &str) -> Stage {
+        self.shared.as_mut().expect("it is shared").1 = folder.to_string();
+        self
+    }
+
     /// The folder that its processes share.
     pub fn folder(&self) -> &str {
         &self.shared.as_ref().expect("it is shared").1
