Keep reads fresh where hosts do not check, and serve customers of other kinds

Desk::admit() asked the keeper alone, which knows of answers. Change: Router::is_fresh(), asked again before the first byte by Desk::may_go(); Errand and Floor::with_write(); Request:: is_spent(); sessions::Settings::positions and checks; answers that show themselves too old are not given. Tests: freshness, limits, rules, laws; each mend taken out again made its own test fail (ten plants).

--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -122,8 +122,7 @@
     queue: Vec<Event>,
     next: u64,
     open: BTreeMap<RequestId, Open>,
-    /// Each with the place of its class.
-    out: BTreeMap<(RequestId, u32), usize>,
+    out: BTreeMap<(RequestId, u32), Errand>,
     groups: BTreeSet<GroupId>,
     /// Members that the list names.
     listed: BTreeSet<MemberId>,
@@ -176,6 +175,17 @@
     watch: Option<Watch>,
 }
 
+/// An attempt that is out.
+#[derive(Clone, Debug)]
+struct Errand {
+    /// Place of its class.
+    class: usize,
+    /// When it was ordered.
+    at: Time,
+    /// The session that it writes for, and when its request came.
+    writes: Option<(Key, Time)>,
+}
+
 /// What is owed to the session of an open request.
 #[derive(Clone, Debug)]
 struct Watch {
@@ -312,6 +322,12 @@
         self.open.contains_key(request)
     }
 
+    /// Whether an attempt may still be written, as of now: its request waits for its end, and what it would read at its
+    /// member is known to be fresh enough where members do not check that for themselves.
+    pub fn may_go(&self, now: Time, send: &Send) -> bool {
+        self.is_open(&send.request) && self.router.is_fresh(now, &send.request, send.host)
+    }
+
     /// Counts the settings that were in force, from 1.
     pub fn version(&self) -> u64 {
         self.rules.version()
@@ -325,7 +341,8 @@
         if self.keeper.is_none() && !carrying.is_empty() {
             return Err(NotTaken::Sessions);
         }
-        let used = self.open.values().map(|open| open.class).chain(self.out.values().copied()).collect();
+        let out = self.out.values().map(|errand| errand.class);
+        let used = self.open.values().map(|open| open.class).chain(out).collect();
         let mut rules = self.rules.clone();
         let classes = std::mem::take(&mut settings.classes);
         rules.follow(now, classes, &used).map_err(|Full| NotTaken::Full)?;
@@ -418,6 +435,11 @@
         let watch = match (&mut self.keeper, request.session) {
             (Some(keeper), Some(Visit { key, token })) => {
                 let floor = (!write).then(|| keeper.ask(request.at, key, token.as_ref()));
+                // Of a write that is out nobody knows here whether it was committed and answered.
+                let may_be_known = request.at - DEEMED;
+                let writes = |errand: &Errand| errand.writes.is_some_and(|(written, _)| written == key);
+                let under_way = self.out.values().any(|out| writes(out) && out.at <= may_be_known);
+                let floor = floor.map(|floor| if under_way { floor.with_write(may_be_known) } else { floor });
                 if let (true, Some(token)) = (write, &token) {
                     keeper.bring(request.at, key, token);
                 }
@@ -504,7 +526,9 @@
                     (Effect::Keyed { window, .. }, Some(from)) => from.saturating_add(window),
                     _ => Time::MAX,
                 };
-                self.out.insert((request.clone(), attempt), class);
+                let writes = open.watch.as_ref().filter(|watch| watch.floor.is_none());
+                let writes = writes.map(|watch| (watch.key, watch.arrived));
+                self.out.insert((request.clone(), attempt), Errand { class, at: now, writes });
                 Some(Order::Send(Send { request, attempt, host: member, until, write_by, at: now }))
             }
             Action::Refuse { request, wait } => {
@@ -549,11 +573,19 @@
     /// An attempt ended: its connection rests or is closed. True if the member answered and the request is still
     /// open: then what the member said is the request's final answer, and is owed to the client.
     pub fn report(&mut self, now: Time, send: &Send, mut outcome: Outcome) -> bool {
-        if self.out.remove(&(send.request.clone(), send.attempt)).is_none() {
-            // Reported already. A second word would count the attempt out twice.
-            return false;
+        // Reported already? A second word would count the attempt out twice.
+        let Some(errand) = self.out.remove(&(send.request.clone(), send.attempt)) else { return false };
+        if let (Some(keeper), Some((key, arrived))) = (&mut self.keeper, errand.writes) {
+            match outcome.ending {
+                // Also if its client has left: the session's next read may come by another connection.
+                Ending::Served => keeper.wrote(now, key, arrived, outcome.position),
+                // Its answer may have been lost on the way.
+                Ending::Broken | Ending::TimedOut | Ending::CalledOff => keeper.unsure(now, key),
+                _ => {}
+            }
         }
-        if outcome.ending == Ending::Served && !self.served(now, &send.request, &outcome) {
+        let old = self.shows_old_data(send, errand.class, &outcome);
+        if outcome.ending == Ending::Served && (old || !self.served(now, &send.request, &outcome)) {
             // Its data were too old: as if the member had turned the read away by itself.
             outcome.ending = Ending::TurnedAway;
         }
@@ -608,15 +640,24 @@
         Some(open)
     }
 
+    /// What a member says of itself with its answer shows that its data were older than the class allows: it was taken for
+    /// the primary, and is none. Where members check for themselves they do not answer then.
+    fn shows_old_data(&self, send: &Send, class: usize, outcome: &Outcome) -> bool {
+        let bound = match self.rules.class(class).need {
+            Need::Bounded(bound) => bound,
+            Need::Strong => 0,
+            _ => return false,
+        };
+        let replica = self.settings.behind == Behind::Serve && outcome.role == Some(Role::Replica);
+        replica && outcome.position.is_some_and(|position| position < send.at - bound)
+    }
+
     /// A member served an open request. Whether that is the answer: for a session's read it must prove its floor.
     fn served(&mut self, now: Time, request: &RequestId, outcome: &Outcome) -> bool {
         let Some(keeper) = &mut self.keeper else { return true };
         let watch = self.open.get(request).and_then(|open| open.watch.as_ref());
-        let Some(Watch { key, arrived, floor, before }) = watch else { return true };
-        let Some(floor) = floor else {
-            keeper.wrote(now, *key, *arrived, outcome.position);
-            return true;
-        };
+        // What a write has made was told to the keeper.
+        let Some(Watch { key, floor: Some(floor), before, .. }) = watch else { return true };
         if keeper.judge(floor, outcome.position, *before, outcome.role) == Verdict::Behind {
             return false;
         }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -12,6 +12,10 @@
 /// Name of a request; never used again.
 pub type RequestId = Arc<str>;
 
+/// What a member answers counts as known so long after it was written (microseconds; the protocol page), whether or not it
+/// has arrived: a connection that falls silent keeps an answer from its gateway, and not from the rules.
+pub const DEEMED: Time = 100_000;
+
 /// What data a request of a class needs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Need {
@@ -27,6 +31,16 @@
     Eventual,
 }
 
+impl Need {
+    /// How old its data may be, where that is bounded by a span.
+    pub fn bound(self) -> Option<Time> {
+        match self {
+            Need::Bounded(bound) => Some(bound),
+            _ => None,
+        }
+    }
+}
+
 /// What a repeat of a request does.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Effect {
--- a/crates/policy/src/router/list.rs
+++ b/crates/policy/src/router/list.rs
@@ -160,7 +160,7 @@
         if *closed || *ending == Ending::Served {
             return self.close(seq);
         }
-        if req.attempts.iter().any(|a| a.out) {
+        if req.is_out() {
             return;
         }
         let (effect, group) = (self.set.classes[req.class].effect, req.group);
--- a/crates/policy/src/router/pick.rs
+++ b/crates/policy/src/router/pick.rs
@@ -97,7 +97,7 @@
         let req = self.requests.get(&seq)?;
         let primary = self.primary(req.group);
         let class = &self.set.classes[req.class];
-        let last = req.attempts.len() + 1 >= class.attempts as usize;
+        let last = !req.attempts.is_empty() && req.attempts.len() + 1 >= class.attempts as usize;
         let by = req.born + self.set.hold.min(share_of(class.aim, HOLD));
         let held = req.mark.filter(|_| !last && self.now < by);
         let fit = req.attempts.is_empty() && class.effect == Effect::Safe && class.aim <= 2 * self.brief;
--- a/crates/policy/src/router/primary.rs
+++ b/crates/policy/src/router/primary.rs
@@ -6,8 +6,7 @@
     /// The member with the newest evidence of being primary that it has not itself denied since.
     pub(crate) fn primary(&self, group: GroupId) -> Option<MemberId> {
         let lead = |id: &&MemberId| self.members.get(id).is_some_and(Member::leads);
-        let leaders = self.peers(group).iter().filter(lead).copied();
-        leaders.max_by_key(|id| (self.members[id].primary_at, *id))
+        self.peers(group).iter().filter(lead).copied().max_by_key(|id| (self.members[id].primary_at, *id))
     }
 
     pub(super) fn peers(&self, group: GroupId) -> &[MemberId] {
@@ -46,7 +45,7 @@
         if !write && self.set.behind == Behind::Serve {
             return None;
         }
-        let spent = req.attempts.len() + 2 > class.attempts as usize;
+        let spent = req.attempts.len() + 2 > class.attempts.max(2) as usize;
         if spent || self.now - self.groups.get(&group)?.scout_at < pause / 2 * self.set.scout_every {
             return None;
         }
--- a/crates/policy/src/router/requests.rs
+++ b/crates/policy/src/router/requests.rs
@@ -87,14 +87,15 @@
         let mut ended = Vec::new();
         for (seq, req) in &self.requests {
             let class = &self.set.classes[req.class];
-            let out = req.attempts.iter().any(|a| a.out);
             // What is out is not given up for being late: its work goes on, and its client would come again.
             let safe = class.effect == Effect::Safe && class.late_share <= 0.0;
-            let worthless = safe && !out && self.now >= req.born + share_of(class.aim, HOPE);
+            let worthless = safe && self.now >= req.born + share_of(class.aim, HOPE);
+            // What can't be sent again has nothing to wait for.
+            let spent = req.is_spent(class, self.now + self.set.granularity);
             // Never sent by half its time, it has little hope here; its client still has time to retry.
             let unsent = req.attempts.iter().all(|a| !a.out && !a.reached);
             let end = if unsent { req.half.min(req.end) } else { req.end };
-            if self.now + 2 * self.set.granularity >= end || worthless {
+            if self.now + 2 * self.set.granularity >= end || !req.is_out() && (worthless || spent) {
                 ended.push(*seq);
             }
         }
@@ -111,10 +112,9 @@
         let mut least: Vec<(f64, u64)> = Vec::new();
         for (seq, req) in &self.requests {
             let class = &self.set.classes[req.class];
-            let out = req.attempts.iter().any(|a| a.out);
             let late = self.now - req.born >= class.aim;
-            let ran = req.attempts.iter().any(|a| a.may_have_run);
-            let spare = if class.effect == Effect::Safe { !out || late } else { !out && !ran };
+            let safe = class.effect == Effect::Safe;
+            let spare = if safe { !req.is_out() || late } else { req.first_run().is_none() };
             let led = self.primary(req.group).is_some_and(|id| self.well(id));
             let hope = if class.need == Need::Write && !led { 0.1 } else { 1.0 };
             if spare {
--- a/crates/policy/src/router/sends.rs
+++ b/crates/policy/src/router/sends.rs
@@ -15,38 +15,41 @@
     pub(super) fn allowed(&self, req: &Request, id: MemberId) -> bool {
         let Some(member) = self.members.get(&id) else { return false };
         let class = &self.set.classes[req.class];
-        // Rule 1: only an open request, and only while its client waits.
-        let in_time = self.now < req.end && req.attempts.len() < class.attempts as usize;
+        // Rule 1: only an open request, and only while its client waits. No key is used behind its window.
+        let in_time = self.now < req.end && !req.is_spent(class, self.now + self.set.granularity);
         // Rule 2: no second effect, no second copy where there may be none.
-        let alone = self.set.may_overlap || mutant(SecondCopy) || !req.attempts.iter().any(|a| a.out);
-        let first_run = req.attempts.iter().find(|a| a.out || a.may_have_run);
-        let repeatable = match (class.effect, first_run) {
+        let alone = self.set.may_overlap || mutant(SecondCopy) || !req.is_out();
+        let repeatable = match (class.effect, req.first_run()) {
             (_, None) | (Effect::Safe, _) => true,
             (Effect::Unsafe, Some(_)) => mutant(UnsafeRepeated),
-            (Effect::Keyed { window, scope }, Some(first)) => {
-                let same = match scope {
-                    Scope::All => true,
-                    Scope::Group => self.members.get(&first.member).is_some_and(|m| m.group == member.group),
-                    Scope::Zone => first.member == id,
-                };
-                same && (self.now + self.set.granularity < first.sent + window || mutant(WindowIgnored))
-            }
+            (Effect::Keyed { scope, .. }, Some(first)) => match scope {
+                Scope::All => true,
+                Scope::Group => self.members.get(&first.member).is_some_and(|m| m.group == member.group),
+                Scope::Zone => first.member == id,
+            },
         };
         // Rule 3: nothing new to a member known to drain or be gone (the grace is not used).
         let standing = self.standing(member) && member.group == req.group;
-        // Rule 5: where members do not check for themselves, the data must be known to be fresh enough.
-        let fresh = self.set.behind != Behind::Serve
-            || member.leads()
-            || match class.need {
-                Need::Write => true,
-                Need::Strong => false,
-                Need::Session | Need::Eventual => req.mark.is_none_or(|mark| member.position >= mark),
-                Need::Bounded(bound) => member.position >= req.mark.max(Some(self.now - bound)).unwrap_or(0),
-            };
+        let fresh = self.is_fresh(self.now, &req.id, id);
         // Rule 4: the cold budget.
         in_time && alone && repeatable && standing && fresh && self.cold_room(member)
     }
 
+    /// Rule 5: where members do not check for themselves, the data must be known to be fresh enough. That is
+    /// asked again right before an attempt's first byte: a connection may have taken long to come up.
+    pub fn is_fresh(&self, now: Time, request: &RequestId, id: MemberId) -> bool {
+        let req = self.names.get(request).and_then(|seq| self.requests.get(seq));
+        let (Some(req), Some(member)) = (req, self.members.get(&id)) else { return false };
+        let need = self.set.classes[req.class].need;
+        let mark = req.mark.max(need.bound().map(|bound| now - bound));
+        let known = need != Need::Strong && mark.is_none_or(|mark| member.position >= mark);
+        // What has long been out there may have been answered by one that leads no more, and that been lost.
+        let lost = |(of, out): (&(RequestId, u32), &Out)| of.0 != *request && out.may_be_lost(id, now);
+        let recent = now - member.primary_at <= need.bound().unwrap_or(0).max(2 * DEEMED) - DEEMED;
+        let checked = need == Need::Write || self.set.behind != Behind::Serve || known;
+        checked || member.leads() && (recent || !self.outs.iter().any(lost))
+    }
+
     pub(super) fn send(&mut self, seq: u64, id: MemberId) {
         let Some(req) = self.requests.get(&seq).filter(|req| self.allowed(req, id)) else { return };
         let (now, request, class, end) = (self.now, req.id.clone(), req.class, req.end);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,6 +1,7 @@
 //! What a router keeps in mind, as plain data. Nothing here decides anything.
 
 use crate::interface::*;
+use crate::mutant::{mutant, Mutant::WindowIgnored};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
@@ -117,6 +118,30 @@
     pub(crate) attempts: Vec<Attempt>,
 }
 
+impl Request {
+    /// One of its attempts is out.
+    pub(crate) fn is_out(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.out)
+    }
+
+    /// The first attempt that ran or may yet, as far as is known.
+    pub(crate) fn first_run(&self) -> Option<&Attempt> {
+        self.attempts.iter().find(|attempt| attempt.out || attempt.may_have_run)
+    }
+
+    /// By then no further attempt can follow: all are spent, or the window of its key has closed, which an attempt opened
+    /// that may have run.
+    pub(crate) fn is_spent(&self, class: &Class, by: Time) -> bool {
+        let closes = match (class.effect, self.first_run()) {
+            (Effect::Keyed { window, .. }, Some(first)) if !mutant(WindowIgnored) => {
+                first.sent.saturating_add(window)
+            }
+            _ => Time::MAX,
+        };
+        closes <= by || self.attempts.len() >= class.attempts as usize
+    }
+}
+
 /// An attempt that is out, kept until its outcome comes, also when its request is over.
 #[derive(Clone, Debug)]
 pub(crate) struct Out {
@@ -125,3 +150,10 @@
     pub(crate) class: usize,
     pub(crate) beside: f64,
 }
+
+impl Out {
+    /// It was sent to this member so long ago that the answer counts as known, if it was written at once and lost.
+    pub(crate) fn may_be_lost(&self, member: MemberId, now: Time) -> bool {
+        self.member == member && self.sent <= now - DEEMED
+    }
+}
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -229,3 +229,126 @@
     let mut stage = Stage::new(Settings { classes: writes, ..set });
     assert_eq!(sent_to(&stage.ask("w", 1, 900 * MS)), Some(1));
 }
+
+// With nothing out and no attempt left, or behind the window of its key, a request waited for its end and could not be sent.
+#[test]
+fn what_cannot_be_sent_again_is_ended_and_does_not_wait_for_its_time() {
+    let mut once = settings();
+    once.classes.iter_mut().for_each(|class| class.attempts = 1);
+    for class in [0, 2, 4, 5] {
+        let mut stage = Stage::new(once.clone());
+        let member = sent_to(&stage.ask("r", class, 900 * MS)).expect("sent");
+        let mut all = stage.end("r", 0, member, Ending::TurnedAway);
+        (0..4).for_each(|_| all.extend(stage.wait(5 * MS)));
+        assert_eq!(
+            (refused(&all), sends(&all)),
+            (true, 0),
+            "class {class}: it never ran, and may not go out again"
+        );
+    }
+    let mut many = settings();
+    many.classes[5].attempts = 1_000;
+    let mut stage = Stage::new(many);
+    let mut next = sent_to(&stage.ask("k", 5, 900 * MS));
+    let (mut attempts, mut ended) = (0, None);
+    for step in 0..180 {
+        let mut actions = Vec::new();
+        if let Some(member) = next.take() {
+            actions = stage.end("k", attempts, member, Ending::Error);
+            attempts += 1;
+        }
+        actions.extend(stage.wait(5 * MS));
+        next = sent_to(&actions);
+        assert!(!refused(&actions), "it may have run, and its scope is the group");
+        ended = ended.or(failed(&actions).then_some(step * 5));
+    }
+    assert!(attempts > 1, "inside the window it is repeated");
+    assert!(ended.is_some_and(|at| (380..=405).contains(&at)), "its window of 400 ms is over: {ended:?}");
+}
+
+/// Members answer from whatever they have.
+fn unchecked() -> Settings {
+    Settings { behind: Behind::Serve, ..settings() }
+}
+
+#[test]
+fn what_is_known_of_a_members_data_grows_old_while_an_attempt_is_on_its_way() {
+    // Class 0 is bounded by 200 ms.
+    let mut stage = Stage::new(unchecked());
+    let taught = sent_to(&stage.ask("t", 2, 900 * MS)).expect("sent");
+    stage.end_as("t", 0, taught, Ending::Served, Some(50 * MS), Some(Role::Replica));
+    stage.wait(5 * MS);
+    for n in 0..20 {
+        let name: RequestId = format!("r{n}").as_str().into();
+        if sent_to(&stage.ask(&name, 0, 900 * MS)) == Some(taught) {
+            let at = stage.now;
+            assert!(stage.router.is_fresh(at + 140 * MS, &name, taught));
+            assert!(
+                !stage.router.is_fresh(at + 150 * MS, &name, taught),
+                "known to be 50 ms old at the start"
+            );
+            return;
+        }
+    }
+    panic!("no read went to the member that is known to be fresh");
+}
+
+#[test]
+fn a_member_that_says_that_it_does_not_lead_is_not_fresh_enough_for_the_newest_data() {
+    let mut stage = Stage::new(unchecked());
+    let name: RequestId = "strong".into();
+    assert_eq!(sent_to(&stage.ask(&name, 3, 900 * MS)), Some(1));
+    assert!(stage.router.is_fresh(stage.now, &name, 1));
+    stage.ask("any", 2, 900 * MS);
+    stage.play(Event::Probed {
+        member: 1,
+        ending: Ending::Served,
+        report: Report { position: Some(stage.now), role: Some(Role::Replica), ..Report::default() },
+    });
+    assert!(!stage.router.is_fresh(stage.now, &name, 1));
+    // Of a request that is over nothing goes out.
+    stage.play(Event::Withdrawn { request: name.clone() });
+    assert!(!stage.router.is_fresh(stage.now, &name, 1));
+}
+
+// Variant dike-log: a request's only attempt was taken for the last of several, which the primary gets. All reads went there.
+#[test]
+fn where_a_request_has_one_attempt_reads_use_the_replicas_and_a_lost_primary_is_sought() {
+    let mut once = settings();
+    once.classes.iter_mut().for_each(|class| class.attempts = 1);
+    let mut stage = Stage::new(once.clone());
+    let mut at = [0; 4];
+    for n in 0..60 {
+        let name = format!("r{n}");
+        if let Some(member) = sent_to(&stage.ask(&name, 2, 900 * MS)) {
+            at[member as usize] += 1;
+            let role = if member == 1 { Role::Primary } else { Role::Replica };
+            stage.end_as(&name, 0, member, Ending::Served, Some(0), Some(role));
+        }
+        stage.wait(20 * MS);
+    }
+    assert!(at[2] + at[3] >= 20, "{at:?}");
+    // Nobody is known to lead: a write finds out.
+    let mut stage = Stage::empty(Settings { list_role: ListRole::Absent, ..once });
+    let list = (1..=3).map(|m| entry(m, Standing::Up, false, 0)).collect::<Vec<_>>();
+    stage.play(Event::List { whole: true, entries: list.into() });
+    assert!(sent_to(&stage.ask("w", 5, 900 * MS)).is_some());
+}
+
+// What is answered counts as known 0.1 s later, also if the answer is lost: one that was taken for the primary may have said
+// meanwhile that it is none.
+#[test]
+fn one_that_leads_is_not_taken_at_its_word_while_an_answer_of_it_may_be_lost() {
+    let mut stage = Stage::new(unchecked());
+    let first = sent_to(&stage.ask("w", 5, 900 * MS)).expect("sent");
+    stage.end_as("w", 0, first, Ending::Served, Some(0), Some(Role::Primary));
+    assert_eq!((first, sent_to(&stage.ask("out", 5, 900 * MS))), (1, Some(1)));
+    let name: RequestId = "strong".into();
+    stage.ask(&name, 3, 900 * MS);
+    let now = stage.now;
+    assert!(stage.router.is_fresh(now + 99 * MS, &name, 1));
+    assert!(!stage.router.is_fresh(now + 150 * MS, &name, 1), "the write has been out there for longer");
+    stage.now += 150 * MS;
+    stage.end_as("out", 0, 1, Ending::Served, Some(0), Some(Role::Primary));
+    assert!(stage.router.is_fresh(stage.now, &name, 1), "it has spoken since");
+}
--- a/crates/sessions/src/keeper.rs
+++ b/crates/sessions/src/keeper.rs
@@ -27,6 +27,8 @@
     pub known: Time,
     /// Set where something may have been acknowledged that is not known: all that was committed before this.
     pub open: Option<Time>,
+    /// What a write of the session may have made that is under way, or 0.
+    pub under_way: Time,
     /// What the need rests on.
     pub source: Source,
 }
@@ -47,7 +49,12 @@
 impl Floor {
     /// The position that the data read must have reached.
     pub fn need(&self) -> Time {
-        self.known.max(self.open.unwrap_or(0))
+        self.known.max(self.open.unwrap_or(0)).max(self.under_way)
+    }
+
+    /// The same, with a write under way that may have been committed up to then.
+    pub fn with_write(self, up_to: Time) -> Floor {
+        Floor { under_way: self.under_way.max(up_to), ..self }
     }
 }
 
@@ -221,7 +228,7 @@
             let known = self.bring(now, key, token).floor(self.set.promise);
             if now - token.issued <= self.set.token_age && token.issued <= self.ceiling(now) {
                 self.counts.by_token += 1;
-                return Floor { arrived: now, known, open: None, source: Source::Token };
+                return Floor { arrived: now, known, open: None, under_way: 0, source: Source::Token };
             }
             self.counts.old_tokens += 1;
         }
@@ -241,7 +248,7 @@
             return None;
         }
         self.expire(now);
-        let again = self.floor(floor.arrived, key);
+        let again = self.floor(floor.arrived, key).with_write(floor.under_way);
         (again.need() < floor.need()).then(|| {
             self.counts.settled += 1;
             again
@@ -267,8 +274,11 @@
             Some(Role::Primary) => 2 * self.set.clock_error + self.set.granule,
             _ => 0,
         };
+        let untold = position.is_none() && !self.set.positions;
         match position {
             Some(position) if position + slack >= floor.need() => Verdict::Proven,
+            _ if floor.need() == 0 => Verdict::Proven,
+            _ if untold && (self.set.checks || role == Some(Role::Primary)) => Verdict::Proven,
             _ if mutant(Mutant::BehindGiven) => Verdict::Proven,
             _ => {
                 self.counts.behind += 1;
@@ -398,16 +408,17 @@
         let error = self.set.clock_error;
         let mut known = entry.mark.floor(self.set.promise).max(self.base);
         if !self.set.conservative {
-            return Floor { arrived, known, open: None, source: Source::Memory };
+            return Floor { arrived, known, open: None, under_way: 0, source: Source::Memory };
         }
         // What was made here and is lost was committed before this run began.
         if entry.seen < self.lost {
             known = known.max(self.ceiling(self.lost));
         }
         if !self.set.roams {
-            return Floor { arrived, known, open: None, source: Source::Memory };
+            return Floor { arrived, known, open: None, under_way: 0, source: Source::Memory };
         }
-        let open = Floor { arrived, known, open: Some(self.ceiling(arrived)), source: Source::Open };
+        let open =
+            Floor { arrived, known, open: Some(self.ceiling(arrived)), under_way: 0, source: Source::Open };
         let Some(group) = self.groups.get(&key.group) else { return open };
         if self.set.instances < 2 {
             return open;
@@ -423,6 +434,6 @@
                 known = known.max(other.blanket() + error);
             }
         }
-        Floor { arrived, known, open: None, source: Source::Peers }
+        Floor { arrived, known, open: None, under_way: 0, source: Source::Peers }
     }
 }
--- a/crates/sessions/src/settings.rs
+++ b/crates/sessions/src/settings.rs
@@ -28,6 +28,11 @@
     pub promise: Promise,
     /// What a told position is the position of.
     pub told: Told,
+    /// Hosts tell positions. Where they do not, a primary's answer proves what a read needs.
+    pub positions: bool,
+    /// Hosts that are too far behind for a session's read do not answer it. Where they tell no positions, any answer then
+    /// proves what the read needs.
+    pub checks: bool,
     /// What is not known is asked for; else only what is known is, and a session can see less than it should
     /// after a restart or at another instance.
     pub conservative: bool,
@@ -65,6 +70,8 @@
         Settings {
             promise: Promise::WritesAndReads,
             told: Told::WithRead,
+            positions: true,
+            checks: false,
             conservative: true,
             roams: true,
             tokens: true,
--- a/crates/sessions/tests/laws.rs
+++ b/crates/sessions/tests/laws.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use petrelgauge_policy::Time;
+use petrelgauge_policy::{Role, Time};
 use petrelgauge_sessions::*;
 use proptest::prelude::*;
 
@@ -228,3 +228,37 @@
     wallet.clear();
     assert!(held(&wallet, 2).is_empty());
 }
+
+// A customer whose hosts tell no positions: every answer to a session's read was held for one that proves nothing, and no
+// such read was ever served.
+#[test]
+fn where_no_positions_are_told_an_answer_proves_what_its_host_looks_at_or_a_primary_stands_for() {
+    let told = Settings { roams: false, tokens: false, ..Default::default() };
+    let verdicts = |settings: Settings, position| {
+        let mut keeper = Keeper::new(settings, 0).expect("sound");
+        let (key, now) = (keeper.key(G, "member-1"), 9_000 * MS);
+        keeper.wrote(now, key, now - MS, Some(now - MS));
+        let floor = keeper.ask(now, key, None);
+        let roles = [Some(Role::Primary), Some(Role::Replica), None];
+        roles.map(|role| keeper.judge(&floor, position, None, role) == Verdict::Proven)
+    };
+    let silent = Settings { positions: false, ..told.clone() };
+    assert_eq!(verdicts(silent.clone(), None), [true, false, false]);
+    assert_eq!(verdicts(Settings { checks: true, ..silent.clone() }, None), [true; 3]);
+    // What is told counts, and where positions are told an answer without one proves nothing.
+    assert_eq!(verdicts(silent, Some(8_000 * MS)), [false; 3]);
+    assert_eq!(verdicts(Settings { checks: true, ..told }, None), [false; 3]);
+}
+
+#[test]
+fn a_session_that_has_written_nothing_is_answered_by_whoever_answers() {
+    let settings = Settings { roams: false, tokens: false, positions: false, ..Default::default() };
+    let mut keeper = Keeper::new(settings, 0).expect("sound");
+    let key = keeper.key(G, "member-1");
+    let floor = keeper.ask(9_000 * MS, key, None);
+    assert_eq!(keeper.judge(&floor, None, None, Some(Role::Replica)), Verdict::Proven);
+    // A write that is under way may have been answered, and the answer been lost.
+    let floor = floor.with_write(8_900 * MS);
+    assert_eq!((floor.need(), floor.with_write(1).need()), (8_900 * MS, 8_900 * MS));
+    assert_eq!(keeper.judge(&floor, None, None, Some(Role::Replica)), Verdict::Behind);
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -320,11 +320,11 @@
         self.off = true;
     }
 
-    /// Whether it may still be made, as of now: its request waits, and it has not been called off.
-    pub fn is_wanted(&mut self) -> bool {
+    /// Whether it may still be made, as of now: it has not been called off, and see [`Desk::may_go`].
+    pub fn is_wanted(&mut self, now: Time) -> bool {
         // The word may lie there while nobody waits for it: the caller's own work goes first.
         self.off = self.off || self.called_off.try_recv().is_ok();
-        !self.off && self.facade.0.desk.borrow().is_open(&self.send.request)
+        !self.off && self.facade.0.desk.borrow().may_go(now, &self.send)
     }
 
     /// Reports how the attempt ended. True if the member answered and its request is still open: then what the member
--- a/src/main.rs
+++ b/src/main.rs
@@ -299,7 +299,9 @@
     if places.is_empty() {
         return Ok((None, None));
     }
-    let settings = petrelgauge_sessions::Settings { roams: false, tokens: false, ..Default::default() };
+    let (positions, checks) = (config.info.tells_positions(), config.info.checks());
+    let told = petrelgauge_sessions::Settings { positions, checks, ..Default::default() };
+    let settings = petrelgauge_sessions::Settings { roams: false, tokens: false, ..told };
     Ok((Some((Keeper::new(settings, 0).map_err(refused)?, places)), None))
 }
 
--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -38,8 +38,9 @@
             // Much may have happened while its connection came up. From here to its first byte nothing can.
             if life.stage() == Stage::Writing && line.query.is_none() {
                 let takes = line.connection.as_ref().is_some_and(|one| self.takes(host, one.site));
-                if !takes || !attempt.is_wanted() || self.clock.now() >= attempt.write_by {
-                    life.on(self.clock.now(), Event::Unwanted);
+                let now = self.clock.now();
+                if !takes || !attempt.is_wanted(now) || now >= attempt.write_by {
+                    life.on(now, Event::Unwanted);
                     continue;
                 }
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -86,10 +86,16 @@
     session_marks: String,
     #[serde(default)]
     shows_role: String,
+    #[serde(default = "yes")]
+    stamps: bool,
     #[serde(default)]
     when_behind: String,
 }
 
+fn yes() -> bool {
+    true
+}
+
 #[derive(Debug, Deserialize)]
 struct Obligations {
     answer_slack_us: Time,
@@ -134,6 +140,16 @@
         self.family_info.session_marks == "kept"
     }
 
+    /// Members tell positions with their answers.
+    pub fn tells_positions(&self) -> bool {
+        self.family_info.stamps
+    }
+
+    /// Members that are too far behind for a read do not answer it.
+    pub fn checks(&self) -> bool {
+        self.family_info.when_behind != "off"
+    }
+
     /// What the values of a load report are called, in their order.
     pub fn report_names(&self) -> &[String] {
         &self.reporting.names
--- /dev/null
+++ b/tests/freshness.rs
@@ -0,0 +1,200 @@
+//! Customers whose hosts answer from whatever they have: the gateway alone keeps reads from old data, up to the first byte
+//! of each attempt. A host welcomes a connection only when the test says so, and meanwhile what was known of it grows old.
+
+mod stage;
+use stage::*;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Hosts do not look at how far behind they are. Beside any data, there are reads of data no older than 4 s, and of the
+/// newest. Connections may take their time, and work that is out is not called off.
+fn unchecked(config: &str) -> String {
+    let class = |name| {
+        format!(
+            r#"{{"aim_us":4000000,"deadline_us":30000000,"idempotency":"safe","name":"{name}","points":2.0,"late_share":0.2}}"#
+        )
+    };
+    let changes = [
+        ("\"when_behind\":\"bounce\"", "\"when_behind\":\"off\"".to_string()),
+        ("[\"eventual\",\"mutate\"]", "[\"eventual\",\"mutate\",\"lag_bound\",\"strong\"]".to_string()),
+        ("\"staleness_bound_us\":[0,0]", "\"staleness_bound_us\":[0,0,4000000,0]".to_string()),
+        ("\"late_share\":0.5}]", format!("\"late_share\":0.5}},{},{}]", class("bounded"), class("newest"))),
+        ("\"connect_timeout_us\":250000", "\"connect_timeout_us\":50000000".to_string()),
+        ("\"cancel\":true", "\"cancel\":false".to_string()),
+    ];
+    changes.iter().fold(config.to_string(), |config, (old, new)| {
+        assert!(config.contains(old), "{old}");
+        config.replace(old, new)
+    })
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+}
+
+fn ask(class: &str, id: &str, wait_ms: u64) -> Vec<u8> {
+    query(&select("a", class, wait_ms).replace("9b1f", id))
+}
+
+// How old the data may be was looked at when the attempt was decided on, and not when it was written.
+#[test]
+fn a_bounded_read_is_not_sent_once_what_is_known_of_its_host_has_grown_too_old() {
+    let stage = Stage::new(210);
+    let at = unix_ms();
+    let host = stage.slow_host(1, vec![Say::ReplicaAt(b"v", at), Say::Nothing, Say::Row(b"old")]);
+    let stage = stage.list(&[(&host, "up", "standby")]);
+    let config = unchecked(&stage.config());
+    let gateway = stage.start_as(&config);
+    let (mut first, mut second, mut third) = (gateway.client(), gateway.client(), gateway.client());
+    first.write(&ask("view", "1", 25_000));
+    assert_eq!(kinds(&first.until_ready()), "TDCZ");
+    gateway.rest();
+    // Its position is known now, and the next read of it takes the connection that there is.
+    second.write(&ask("bounded", "2", 25_000));
+    assert!(host.next_query().contains("c=view") && host.next_query().contains("c=bounded"));
+    third.write(&ask("bounded", "3", 12_000));
+    host.next_connection();
+    // The one wait by the clock: until 4 s have passed since that position.
+    std::thread::sleep(Duration::from_millis((at + 4_300).saturating_sub(unix_ms())));
+    host.go();
+    gateway.wait_for_counter(" NotWanted=1");
+    let answer = third.until_ready();
+    assert_eq!((kinds(&answer).as_str(), field(&answer[0].1, b'C').as_str()), ("EZ", "53300"));
+    assert_eq!(host.queries(), 2);
+}
+
+// The host said that it leads no more while the connection came up.
+#[test]
+fn a_read_of_the_newest_is_not_sent_to_a_host_that_has_said_meanwhile_that_it_does_not_lead() {
+    let stage = Stage::new(211);
+    let host = stage.slow_host(0, vec![Say::ReplicaAt(b"v", unix_ms()), Say::Row(b"old")]);
+    let stage = stage.list(&[(&host, "up", "primary")]);
+    let config = unchecked(&stage.config());
+    let gateway = stage.start_as(&config);
+    let (mut first, mut second) = (gateway.client(), gateway.client());
+    first.write(&ask("view", "1", 25_000));
+    host.next_connection();
+    second.write(&ask("newest", "2", 8_000));
+    // Its connection is on its way, behind the other one.
+    gateway.wait_for("host_connects=", |count| count >= 2);
+    host.go();
+    assert_eq!(kinds(&first.until_ready()), "TDCZ");
+    host.next_connection();
+    // The decisions are stepped with it some milliseconds later; it counts as known after 0.1 s.
+    gateway.rest();
+    host.go();
+    gateway.wait_for_counter(" NotWanted=1");
+    let answer = second.until_ready();
+    assert_eq!((kinds(&answer).as_str(), field(&answer[0].1, b'C').as_str()), ("EZ", "53300"));
+    assert_eq!(host.queries(), 1);
+}
+
+// What is fresh enough still goes out on a connection that came up late.
+#[test]
+fn a_bounded_read_is_sent_while_what_is_known_of_its_host_is_new_enough() {
+    let stage = Stage::new(212);
+    let at = unix_ms();
+    let script = vec![Say::ReplicaAt(b"v", at), Say::Nothing, Say::ReplicaAt(b"new", at)];
+    let host = stage.slow_host(1, script);
+    let stage = stage.list(&[(&host, "up", "standby")]);
+    let config = unchecked(&stage.config()).replace("4000000,0]", "60000000,0]");
+    let gateway = stage.start_as(&config);
+    let (mut first, mut second, mut third) = (gateway.client(), gateway.client(), gateway.client());
+    first.write(&ask("view", "1", 25_000));
+    first.until_ready();
+    gateway.rest();
+    second.write(&ask("bounded", "2", 25_000));
+    assert!(host.next_query().contains("c=view") && host.next_query().contains("c=bounded"));
+    third.write(&ask("bounded", "3", 25_000));
+    host.next_connection();
+    host.go();
+    assert_eq!(kinds(&third.until_ready()), "TDCZ");
+    assert_eq!(host.queries(), 3);
+}
+
+/// The same, and reads of what their session has written. Of the sessions, `a` is the one that writes.
+fn with_sessions(config: &str) -> String {
+    let config = unchecked(config);
+    assert!(config.contains("\"strong\"]"));
+    config.replace("\"strong\"]", "\"causal\"]")
+}
+
+fn write(id: &str, wait_ms: u64) -> Vec<u8> {
+    query(&insert("a", wait_ms).replace("9b1f", id))
+}
+
+/// A primary that drains as soon as a write of session `a` is out there, and a replica that is known to be as new as `at`.
+/// What the primary does with the write is up to the test.
+fn a_write_out_at_a_primary_that_drains(number: u8, does: Say, at: u64) -> (Gateway, [Host; 2], Client) {
+    let stage = Stage::new(number);
+    let hosts =
+        [stage.host(vec![does]), stage.host((0..30).map(|_| Say::ReplicaAt(b"replica", at)).collect())];
+    let drains = stage.entries(&[(&hosts[0], "draining", "primary"), (&hosts[1], "up", "standby")]);
+    let stage = stage.later(&[&list(42, false, &drains)]);
+    let stage = stage.list(&[(&hosts[0], "up", "primary"), (&hosts[1], "up", "standby")]);
+    let config = with_sessions(&stage.config());
+    let gateway = stage.start_as(&config);
+    let mut writer = gateway.client();
+    writer.write(&write("1", 25_000));
+    hosts[0].next_query();
+    gateway.tell_later();
+    gateway.wait_for("lists=", |count| count >= 2);
+    let mut client = gateway.client();
+    client.write(&ask("view", "2", 25_000));
+    assert_eq!(kinds(&client.until_ready()), "TDCZ");
+    assert_eq!(hosts[1].queries(), 1);
+    (gateway, hosts, writer)
+}
+
+// Day split of the variant tide-tables: connections fall silent under a write that is served, its answer counts as known 0.1 s
+// after it was written, and reads of its session went to replicas that lacked it.
+#[test]
+fn a_read_of_a_session_whose_write_is_out_without_an_answer_sees_what_it_may_have_made() {
+    let (gateway, hosts, writer) = a_write_out_at_a_primary_that_drains(215, Say::Nothing, unix_ms());
+    // The one wait by the clock: the answer could have been written and lost for longer than it takes to be known.
+    std::thread::sleep(Duration::from_millis(400));
+    let mut reader = gateway.client();
+    reader.write(&ask("newest", "3", 4_000));
+    let answer = reader.until_ready();
+    assert_eq!((kinds(&answer).as_str(), field(&answer[0].1, b'C').as_str()), ("EZ", "53300"));
+    assert_eq!(hosts[1].queries(), 0, "it lacks what was committed since");
+    // Another session has nothing to do with it.
+    reader.write(&query(&select("b", "newest", 25_000)));
+    assert_eq!(kinds(&reader.until_ready()), "TDCZ");
+    drop(writer);
+}
+
+// The answer of a write was forgotten where its client had left before it came.
+#[test]
+fn a_read_of_a_session_sees_a_write_that_was_answered_behind_its_clients_leaving() {
+    let start = unix_ms();
+    let (does, at) = (Say::RowAtOnGo(b"v", start + 1_100), start + 900);
+    let (gateway, hosts, writer) = a_write_out_at_a_primary_that_drains(216, does, at);
+    drop(writer);
+    // Whatever it may have made is taken to be made by now: the replica has it.
+    gateway.wait_for_counter("left=1 ");
+    // The one wait by the clock: it was made later than that, and later than what the replica has.
+    std::thread::sleep(Duration::from_millis((start + 1_200).saturating_sub(unix_ms())));
+    hosts[0].go();
+    gateway.wait_for_counter(" Served=2");
+    let mut reader = gateway.client();
+    reader.write(&ask("newest", "3", 4_000));
+    let answer = reader.until_ready();
+    assert_eq!((kinds(&answer).as_str(), field(&answer[0].1, b'C').as_str()), ("EZ", "53300"));
+    assert_eq!(hosts[1].queries(), 0);
+}
+
+// Told by its own answer that it does not lead, and how old its data are.
+#[test]
+fn an_answer_that_shows_by_itself_that_its_data_are_too_old_is_not_given() {
+    let stage = Stage::new(217);
+    let old = unix_ms() - 60_000;
+    let deposed = stage.host(vec![Say::ReplicaAt(b"old", old)]);
+    let stage = stage.list(&[(&deposed, "up", "primary")]);
+    let config = unchecked(&stage.config());
+    let gateway = stage.start_as(&config);
+    let mut client = gateway.client();
+    client.write(&ask("bounded", "1", 2_000));
+    let answer = client.until_ready();
+    assert_eq!(kinds(&answer), "EZ");
+    assert_eq!(deposed.queries(), 1);
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -91,6 +91,8 @@
     /// A row, in so many bytes at a time and so many milliseconds apart.
     Pieces(&'static [u8], usize, u64),
     WaitForGo(&'static [u8]),
+    /// The same, at this position.
+    RowAtOnGo(&'static [u8], u64),
     /// No answer, and the connection closed when the test says so.
     CloseOnGo,
     Error(&'static str),
@@ -178,8 +180,10 @@
     let ready = message(b'Z', b"I");
     let welcome = [message(b'R', &[0; 4]), ready.clone()].concat();
     if let Some(come) = come {
+        // One at a time waits to be let go on, in the order in which the test hears of them.
+        let turn = go.lock().expect("a signal");
         let _ = come.send(());
-        go.lock().expect("a signal").recv_timeout(NEVER).expect("it may go on");
+        turn.recv_timeout(NEVER).expect("it may go on");
     }
     // The gateway may have left meanwhile.
     let _ = stream.write_all(&welcome);
@@ -218,6 +222,10 @@
                 go.lock().expect("a signal").recv_timeout(NEVER).expect("it may go on");
                 row(value)
             }
+            Some(Say::RowAtOnGo(value, at)) => {
+                go.lock().expect("a signal").recv_timeout(NEVER).expect("it may go on");
+                [row(value), message(b'S', format!("log_position\0{at}\0").as_bytes())].concat()
+            }
             Some(Say::CloseOnGo) => {
                 return go.lock().expect("a signal").recv_timeout(NEVER).expect("it may go on");
             }
