--- a/src/main.rs
+++ b/src/main.rs
@@ -161,6 +161,7 @@
         open: Gauge::default(),
         ids: RefCell::default(),
         last: Cell::new(Time::MAX),
+        reads_until: Cell::new(Time::MAX),
     });
     let accepted = front.clone();
     tasks.spawn_local(async move {
@@ -210,7 +211,9 @@
         match life.on(clock.now(), event) {
             Do::Doors if event == Event::Stop => {
                 log::info!("stopping");
-                front.last.set(life.answers_by(facade.longest(clock.now())));
+                let longest = facade.longest(clock.now());
+                front.last.set(life.answers_by(longest));
+                front.reads_until.set(life.reads_until(longest));
                 facade.answer_by(front.last.get());
                 leaving.iter().for_each(|duties| duties.leave());
             }
@@ -296,7 +299,9 @@
     if places.is_empty() {
         return Ok((None, None));
     }
-    let settings = petrelgauge_sessions::Settings { roams: false, tokens: false, ..Default::default() };
+    let (positions, checks) = (config.info.tells_positions(), config.info.checks());
+    let told = petrelgauge_sessions::Settings { positions, checks, ..Default::default() };
+    let settings = petrelgauge_sessions::Settings { roams: false, tokens: false, ..told };
     Ok((Some((Keeper::new(settings, 0).map_err(refused)?, places)), None))
 }
 
