Take no host that started anew for the primary that a list names after its time

The list shows roles as they were at the start (list_role = start); its old primary came back as a replica, Router::blank() believed the list, and Router::list() had forgotten what the host had said before it started. Ruled out: answers lost on the way (host 3 had none out), the bound of a primary's word (fresh reads broke it too). Change: a list of that kind names nobody that has started since; who said that it is none is none after its start as well.

--- a/crates/policy/src/router/list.rs
+++ b/crates/policy/src/router/list.rs
@@ -18,9 +18,9 @@
                     member.drained |= entry.standing == Standing::Draining;
                 }
                 known => {
-                    let out = known.map_or(0, |member| member.out);
-                    let credit = self.chance();
-                    self.members.insert(entry.member, Member { out, credit, ..self.blank(entry) });
+                    let (out, replica_at) = known.map_or((0, 0), |known| (known.out, known.replica_at));
+                    let member = Member { out, replica_at, credit: self.chance(), ..self.blank(entry) };
+                    self.members.insert(entry.member, member);
                 }
             }
             let group = self.groups.entry(entry.group).or_default();
@@ -32,7 +32,9 @@
     }
 
     pub(super) fn blank(&self, entry: &Entry) -> Member {
-        let named = entry.primary && self.set.list_role != ListRole::Absent;
+        // A list that shows roles as they were at the start knows nothing of one that has started since.
+        let then = entry.started <= 0 && self.set.list_role == ListRole::Static;
+        let named = entry.primary && (then || self.set.list_role == ListRole::Trailing);
         Member {
             group: entry.group,
             zone: entry.zone.as_str().into(),
--- a/crates/policy/src/router/requests.rs
+++ b/crates/policy/src/router/requests.rs
@@ -90,7 +90,6 @@
             // What is out is not given up for being late: its work goes on, and its client would come again.
             let safe = class.effect == Effect::Safe && class.late_share <= 0.0;
             let worthless = safe && self.now >= req.born + share_of(class.aim, HOPE);
-            // What can't be sent again has nothing to wait for.
             let spent = req.is_spent(class, self.now + self.set.granularity);
             // Never sent by half its time, it has little hope here; its client still has time to retry.
             let unsent = req.attempts.iter().all(|a| !a.out && !a.reached);
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -352,3 +352,24 @@
     stage.end_as("out", 0, 1, Ending::Served, Some(0), Some(Role::Primary));
     assert!(stage.router.is_fresh(stage.now, &name, 1), "it has spoken since");
 }
+
+// Variant tide-tables, split: the list shows roles as they were at the start of the day, and its old primary came back as a
+// replica: `list host=3 up_since_ms=1796183494291 role=primary`, then reads went there, and were answered from old data.
+#[test]
+fn one_that_started_anew_is_not_taken_for_the_primary_that_the_list_says_it_was() {
+    let strong = |role: ListRole, said: Option<Role>| {
+        let mut stage = Stage::new(Settings { list_role: role, ..unchecked() });
+        if let Some(said) = said {
+            let report = Report { position: Some(stage.now), role: Some(said), ..Report::default() };
+            stage.play(Event::Probed { member: 1, ending: Ending::Served, report });
+        }
+        let again = entry(1, Standing::Up, true, stage.now);
+        stage.play(Event::List { whole: false, entries: [again].into() });
+        stage.now += 20_000 * MS;
+        sent_to(&stage.ask("strong", 3, 900 * MS))
+    };
+    assert_eq!(strong(ListRole::Static, None), None);
+    // A list that follows roles may be right about it, unless it has said itself that it does not lead.
+    assert_eq!(strong(ListRole::Trailing, None), Some(1));
+    assert_eq!(strong(ListRole::Trailing, Some(Role::Replica)), None);
+}
