Decide in the heart up to when clients are read in a stop

Session::hear() in src/net/front.rs chose between two times by whether its client had had an answer: a decision in network code, and one that only the load test of handover could catch, by chance. Change: lifecycle::gateway::LastReads holds both times and gives the one for a client; the front asks it. Need::bound() is called in the desk in place of a pattern written out again. Result: same times as before. The unit test fails with both times made the same, which no test was sure to catch.

--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -643,11 +643,8 @@
     /// What a member says of itself with its answer shows that its data were older than the class allows: it was taken for
     /// the primary, and is none. Where members check for themselves they do not answer then.
     fn shows_old_data(&self, send: &Send, class: usize, outcome: &Outcome) -> bool {
-        let bound = match self.rules.class(class).need {
-            Need::Bounded(bound) => bound,
-            Need::Strong => 0,
-            _ => return false,
-        };
+        let need = self.rules.class(class).need;
+        let Some(bound) = need.bound().or((need == Need::Strong).then_some(0)) else { return false };
         let replica = self.settings.behind == Behind::Serve && outcome.role == Some(Role::Replica);
         replica && outcome.position.is_some_and(|position| position < send.at - bound)
     }
--- a/crates/lifecycle/src/gateway.rs
+++ b/crates/lifecycle/src/gateway.rs
@@ -15,6 +15,7 @@
 //! After SIGTERM clients are accepted for a while: the front learns of it only then. Idle ones are closed after that,
 //! the others get their answers, and it ends when nothing is held any more.
 
+use crate::client::Idleness;
 use petrelgauge_policy::{mutant, Mutant, Time};
 
 /// After SIGTERM, and after the call to drain, clients are served as before for this span (microseconds): the front
@@ -119,6 +120,33 @@
     End,
 }
 
+/// Up to when clients are read in a stop (clock times).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LastReads {
+    /// Those without any answer so far: to be closed without one costs them, and so they are read up to the last answers.
+    new: Time,
+    /// Those that have had one. What is read from them has half of the time that is left to be answered: later it would be
+    /// refused for want of time, and unread its client sends it once more to another gateway.
+    answered: Time,
+}
+
+impl Default for LastReads {
+    /// No stop.
+    fn default() -> LastReads {
+        LastReads { new: Time::MAX, answered: Time::MAX }
+    }
+}
+
+impl LastReads {
+    /// For a client that would be closed for this reason.
+    pub fn of(self, why: Idleness) -> Time {
+        match why {
+            Idleness::Answered => self.answered,
+            Idleness::New | Idleness::CutOff => self.new,
+        }
+    }
+}
+
 /// The gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Gateway {
@@ -153,11 +181,11 @@
         self.stopped_at.map_or(Time::MAX, |at| at + limit)
     }
 
-    /// Clock time up to which more is read in a stop from clients that have had an answer: what is read then has half of
-    /// the time that is left to be answered. Later it would be refused for want of time; unread, its client sends it once
-    /// more to another gateway. `longest`: the longest deadline of any class.
-    pub fn reads_until(&self, longest: Time) -> Time {
-        self.stopped_at.map_or(Time::MAX, |at| at + ((self.answers_by(longest) - at) / 2).max(LAST_CLIENTS))
+    /// Up to when what is read in a stop. `longest`: the longest deadline of any class.
+    pub fn last_reads(&self, longest: Time) -> LastReads {
+        let Some(at) = self.stopped_at else { return LastReads::default() };
+        let new = self.answers_by(longest);
+        LastReads { new, answered: at + ((new - at) / 2).max(LAST_CLIENTS) }
     }
 
     fn at_work(&self) -> bool {
@@ -244,12 +272,18 @@
             [(second, 17 * second / 10), (3 * second, 37 * second / 10), (30 * second, 37 * second / 10)]
         {
             let mut life = Gateway::new(false);
-            assert_eq!((life.answers_by(longest), life.reads_until(longest)), (Time::MAX, Time::MAX));
+            assert_eq!(
+                (life.answers_by(longest), life.last_reads(longest)),
+                (Time::MAX, LastReads::default())
+            );
             life.on(5 * second, Event::Stop);
             let by = life.answers_by(longest);
             assert!((5 * second + kill - 300_000..5 * second + kill - 200_000).contains(&by), "{by}");
-            let reads = life.reads_until(longest);
-            assert!(reads >= 5 * second + LAST_CLIENTS && reads <= by - (by - 5 * second) / 4, "{reads}");
+            let reads = life.last_reads(longest);
+            assert_eq!((reads.of(Idleness::New), reads.of(Idleness::CutOff)), (by, by));
+            let answered = reads.of(Idleness::Answered);
+            assert!(answered >= 5 * second + LAST_CLIENTS, "{answered}");
+            assert!(answered <= by - (by - 5 * second) / 4, "{answered}");
             life.on(6 * second, Event::Stop);
             assert_eq!(life.answers_by(longest), by);
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -161,7 +161,7 @@
         open: Gauge::default(),
         ids: RefCell::default(),
         last: Cell::new(Time::MAX),
-        reads_until: Cell::new(Time::MAX),
+        last_reads: Cell::default(),
     });
     let accepted = front.clone();
     tasks.spawn_local(async move {
@@ -213,7 +213,7 @@
                 log::info!("stopping");
                 let longest = facade.longest(clock.now());
                 front.last.set(life.answers_by(longest));
-                front.reads_until.set(life.reads_until(longest));
+                front.last_reads.set(life.last_reads(longest));
                 facade.answer_by(front.last.get());
                 leaving.iter().for_each(|duties| duties.leave());
             }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -17,7 +17,7 @@
 use bytes::{Buf, Bytes};
 use petrelgauge_lifecycle::asked::{Asked, Event, Final as Last};
 use petrelgauge_lifecycle::client::{Client, Do, Event as Happens, Stage, Used};
-use petrelgauge_lifecycle::gateway::Door;
+use petrelgauge_lifecycle::gateway::{Door, LastReads};
 use petrelgauge_sessions::Wallet;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -62,8 +62,8 @@
     pub ids: RefCell<BTreeSet<Rc<str>>>,
     /// Clock time of the last answers before the process may be killed, once it is to stop.
     pub last: Cell<Time>,
-    /// Up to when more is read then from clients that have had an answer.
-    pub reads_until: Cell<Time>,
+    /// Up to when clients are read then.
+    pub last_reads: Cell<LastReads>,
 }
 
 impl Front {
@@ -224,8 +224,8 @@
         }
         let (why, since) = life.idleness();
         // The process may be killed soon: nothing more is read, and what was read is answered first.
-        let over = if why == Idleness::Answered { front.reads_until.get() } else { front.last.get() };
-        if door.borrow().empties() && clock.now() >= over && !self.inbox.holds(life.stage()) {
+        let over = clock.now() >= front.last_reads.get().of(why);
+        if door.borrow().empties() && over && !self.inbox.holds(life.stage()) {
             return Happens::Stop { unread: false }.into();
         }
         let _idle = front.budget.idle(why, since, &shed);
