--- /dev/null
+++ b/tests/stage/gateway.rs
@@ -0,0 +1,216 @@
+//! The program, as it runs, and its clients.
+
+use super::{config_path, query, read_message, startup, NEVER};
+use std::cell::RefCell;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command};
+use std::sync::mpsc::{Receiver, Sender};
+use std::thread;
+use std::time::Duration;
+
+/// The program, as it runs.
+pub struct Gateway {
+    pub(super) child: Child,
+    pub(super) log: RefCell<BufReader<std::process::ChildStderr>>,
+    pub(super) address: String,
+    pub(super) ops: Option<String>,
+    pub(super) watches: Receiver<String>,
+    pub(super) end_watch: Sender<()>,
+}
+
+impl Gateway {
+    /// Where it listens.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// A caller of its second address.
+    pub fn caller(&self) -> TcpStream {
+        let stream =
+            TcpStream::connect(self.ops.as_ref().expect("it listens to its staff")).expect("it accepts");
+        stream.set_read_timeout(Some(NEVER)).expect("a limit");
+        stream
+    }
+
+    /// What it answers to a call.
+    pub fn call(&self, line: &[u8]) -> String {
+        let mut caller = self.caller();
+        caller.write_all(line).expect("it is read");
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).expect("an answer");
+        answer
+    }
+
+    /// Calls until the answer begins so.
+    pub fn call_until(&self, line: &[u8], begins: &str) {
+        for _ in 0..NEVER.as_millis() / 20 {
+            if self.call(line).starts_with(begins) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        panic!("it never says so");
+    }
+
+    pub fn raw_client(&self) -> Client {
+        Client::connected(self.address.parse().expect("an address"))
+    }
+
+    /// A client that is admitted.
+    pub fn client(&self) -> Client {
+        Client::admitted(self.address.parse().expect("an address"))
+    }
+
+    /// Replaces its configuration and tells it so.
+    pub fn configure(&self, config: &str) {
+        std::fs::write(config_path(&self.address), config).expect("a place to write");
+        self.signal("HUP");
+    }
+
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args([&format!("-{name}"), &id]).status().expect("kill is there");
+        assert!(sent.success());
+    }
+
+    /// Waits for a line of the log that holds this text.
+    pub fn line_with(&self, text: &str) -> String {
+        let (mut log, mut last) = (self.log.borrow_mut(), String::new());
+        loop {
+            let mut line = String::new();
+            let read = log.read_line(&mut line).expect("its log");
+            assert!(read > 0, "it ended before it said {text:?}; its last word: {last:?}");
+            if line.contains(text) {
+                return line;
+            }
+            last = line;
+        }
+    }
+
+    /// Asks for the counters until they hold this text.
+    pub fn wait_for_counter(&self, text: &str) {
+        self.wait_for_counters(|counters| counters.contains(text));
+    }
+
+    /// Asks for the counters until the one named so, with its equals sign, has a value that will do.
+    pub fn wait_for(&self, name: &str, will_do: impl Fn(u64) -> bool) {
+        self.wait_for_counters(|counters| {
+            let words = counters.split_ascii_whitespace();
+            words.filter_map(|word| word.strip_prefix(name)?.parse().ok()).any(&will_do)
+        });
+    }
+
+    fn wait_for_counters(&self, will_do: impl Fn(&str) -> bool) {
+        for _ in 0..NEVER.as_millis() / 20 {
+            self.signal("USR1");
+            if will_do(&self.line_with("requests=")) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        panic!("its counters never say so");
+    }
+
+    /// The head of the next watch that it begins.
+    pub fn next_watch(&self) -> String {
+        self.watches.recv_timeout(NEVER).expect("it watches")
+    }
+
+    /// Waits until a connection that has answered may be used again.
+    pub fn rest(&self) {
+        thread::sleep(Duration::from_millis(100));
+    }
+
+    /// Lets the watch bring what was kept for later.
+    pub fn tell_later(&self) {
+        self.end_watch();
+    }
+
+    pub fn end_watch(&self) {
+        self.end_watch.send(()).expect("a watch is open");
+    }
+
+    /// Waits for its end: its code and the rest of its log.
+    pub fn ended(&mut self) -> (Option<i32>, String) {
+        let mut log = String::new();
+        self.log.borrow_mut().read_to_string(&mut log).expect("its log");
+        (self.child.wait().expect("it ends").code(), log)
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A client's connection.
+pub struct Client(TcpStream, SocketAddr);
+
+impl Client {
+    /// Leaves with a reset in place of the end of its bytes.
+    pub fn reset(self) {
+        socket2::SockRef::from(&self.0).set_linger(Some(Duration::ZERO)).expect("an option");
+    }
+
+    fn connected(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("it accepts");
+        stream.set_read_timeout(Some(NEVER)).expect("a limit");
+        Client(stream, address)
+    }
+
+    fn admitted(address: SocketAddr) -> Client {
+        let mut client = Client::connected(address);
+        client.write(&startup());
+        client.until_ready();
+        client
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).expect("it is read");
+    }
+
+    pub fn bytes(&mut self, count: usize) -> Vec<u8> {
+        let mut bytes = vec![0; count];
+        self.0.read_exact(&mut bytes).expect("so many bytes");
+        bytes
+    }
+
+    /// What comes until the connection ends.
+    pub fn until_end(&mut self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        let _ = self.0.read_to_end(&mut bytes);
+        bytes
+    }
+
+    pub fn until_ready(&mut self) -> Vec<(u8, Vec<u8>)> {
+        let mut messages = Vec::new();
+        while messages.last().is_none_or(|(kind, _)| *kind != b'Z') {
+            messages.push(read_message(&mut self.0).expect("a message"));
+        }
+        messages
+    }
+
+    pub fn rest(&mut self) -> Vec<(u8, Vec<u8>)> {
+        std::iter::from_fn(|| read_message(&mut self.0)).collect()
+    }
+
+    /// Asks as the protocol's clients do: where the gateway closed the connection before it read the
+    /// query, once more over a new one.
+    pub fn ask(&mut self, text: &str) -> Vec<(u8, Vec<u8>)> {
+        let written = self.0.write_all(&query(text));
+        let mut first = [0];
+        if written.is_err() || !matches!(self.0.peek(&mut first), Ok(1)) {
+            *self = Client::admitted(self.1);
+            self.write(&query(text));
+        }
+        self.until_ready()
+    }
+}
--- /dev/null
+++ b/tests/stage/host.rs
@@ -0,0 +1,185 @@
+//! A database host that takes one query after the other from its script.
+
+use super::{message, read_message, NEVER};
+use std::cell::Cell;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// What a scripted host does with a query.
+pub enum Say {
+    Row(&'static [u8]),
+    /// A row at this position, in Unix milliseconds.
+    RowAt(&'static [u8], u64),
+    /// The same from a replica.
+    ReplicaAt(&'static [u8], u64),
+    /// A row, and these bytes right behind it.
+    Surplus(&'static [u8], &'static [u8]),
+    /// These bytes and no more.
+    Bytes(&'static [u8]),
+    /// These bytes, and the connection's end.
+    Cut(&'static [u8]),
+    /// A row, in so many bytes at a time and so many milliseconds apart.
+    Pieces(&'static [u8], usize, u64),
+    WaitForGo(&'static [u8]),
+    /// The same, at this position.
+    RowAtOnGo(&'static [u8], u64),
+    /// No answer, and the connection closed when the test says so.
+    CloseOnGo,
+    Error(&'static str),
+    /// The same from a replica at this position.
+    ErrorAt(&'static str, u64),
+    Close,
+    Nothing,
+}
+
+/// A database host that takes one query after the other from its script.
+pub struct Host {
+    pub(super) address: String,
+    pub(super) seen: Receiver<String>,
+    pub(super) ended: Receiver<()>,
+    pub(super) came: Receiver<()>,
+    pub(super) go: Sender<()>,
+    pub(super) count: Cell<usize>,
+}
+
+impl Host {
+    pub(super) fn start(ip: &str, script: Vec<Say>) -> Host {
+        Host::slow_from(ip, script, usize::MAX)
+    }
+
+    /// From this connection on, counted from 0, it welcomes none before the test says so.
+    pub(super) fn slow_from(ip: &str, script: Vec<Say>, slow_from: usize) -> Host {
+        let listener = TcpListener::bind((ip, 0)).expect("a free port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let ((saw, seen), (end, ended), (go, gone), (come, came)) =
+            (channel(), channel(), channel(), channel());
+        // Its connections share the script: whichever gets a query takes the next line.
+        let (script, gone) = (Arc::new(Mutex::new(script.into_iter())), Arc::new(Mutex::new(gone)));
+        thread::spawn(move || {
+            for (place, stream) in listener.incoming().enumerate() {
+                let (script, saw, gone, end) = (script.clone(), saw.clone(), gone.clone(), end.clone());
+                let come = (place >= slow_from).then(|| come.clone());
+                thread::spawn(move || {
+                    serve(stream.expect("a connection"), &script, &saw, &gone, come.as_ref());
+                    let _ = end.send(());
+                });
+            }
+        });
+        Host { address, seen, ended, came, go, count: Cell::new(0) }
+    }
+
+    /// The next query that it got.
+    pub fn next_query(&self) -> String {
+        self.count.set(self.count.get() + 1);
+        self.seen.recv_timeout(NEVER).expect("a query arrives")
+    }
+
+    /// How many it got in all.
+    pub fn queries(&self) -> usize {
+        self.count.get() + self.seen.try_iter().count()
+    }
+
+    /// A connection waits to be welcomed.
+    pub fn next_connection(&self) {
+        self.came.recv_timeout(NEVER).expect("a connection comes");
+    }
+
+    /// A connection to it has ended.
+    pub fn left(&self) {
+        self.ended.recv_timeout(NEVER).expect("the gateway closes");
+    }
+
+    pub fn go(&self) {
+        self.go.send(()).expect("it waits");
+    }
+}
+
+fn serve(
+    mut stream: TcpStream,
+    script: &Mutex<impl Iterator<Item = Say>>,
+    saw: &Sender<String>,
+    go: &Mutex<Receiver<()>>,
+    come: Option<&Sender<()>>,
+) {
+    let mut length = [0; 4];
+    if stream.read_exact(&mut length).is_err() {
+        return;
+    }
+    let mut rest = vec![0; u32::from_be_bytes(length) as usize - 4];
+    stream.read_exact(&mut rest).expect("a startup message");
+    let ready = message(b'Z', b"I");
+    let welcome = [message(b'R', &[0; 4]), ready.clone()].concat();
+    if let Some(come) = come {
+        // One at a time waits to be let go on, in the order in which the test hears of them.
+        let turn = go.lock().expect("a signal");
+        let _ = come.send(());
+        turn.recv_timeout(NEVER).expect("it may go on");
+    }
+    // The gateway may have left meanwhile.
+    let _ = stream.write_all(&welcome);
+    while let Some((kind, body)) = read_message(&mut stream) {
+        assert_eq!(kind, b'Q', "only simple queries");
+        let _ = saw.send(String::from_utf8_lossy(&body[..body.len() - 1]).into_owned());
+        let say = script.lock().expect("a script").next();
+        let role =
+            if matches!(say, Some(Say::ReplicaAt(..) | Say::ErrorAt(..))) { "standby" } else { "primary" };
+        let answer = match say {
+            Some(Say::Row(value)) => row(value),
+            Some(Say::RowAt(value, at) | Say::ReplicaAt(value, at)) => {
+                [row(value), message(b'S', format!("log_position\0{at}\0").as_bytes())].concat()
+            }
+            Some(Say::Bytes(bytes)) => {
+                let _ = stream.write_all(bytes);
+                continue;
+            }
+            Some(Say::Surplus(value, behind)) => {
+                let _ = stream.write_all(&[row(value), ready.clone(), behind.to_vec()].concat());
+                continue;
+            }
+            Some(Say::Cut(bytes)) => {
+                let _ = stream.write_all(bytes);
+                return;
+            }
+            Some(Say::Pieces(value, size, apart)) => {
+                let whole = [row(value), ready.clone()].concat();
+                for piece in whole.chunks(size) {
+                    let _ = stream.write_all(piece);
+                    thread::sleep(Duration::from_millis(apart));
+                }
+                continue;
+            }
+            Some(Say::WaitForGo(value)) => {
+                go.lock().expect("a signal").recv_timeout(NEVER).expect("it may go on");
+                row(value)
+            }
+            Some(Say::RowAtOnGo(value, at)) => {
+                go.lock().expect("a signal").recv_timeout(NEVER).expect("it may go on");
+                [row(value), message(b'S', format!("log_position\0{at}\0").as_bytes())].concat()
+            }
+            Some(Say::CloseOnGo) => {
+                return go.lock().expect("a signal").recv_timeout(NEVER).expect("it may go on");
+            }
+            Some(Say::Error(code)) => message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes()),
+            Some(Say::ErrorAt(code, at)) => {
+                let error = message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes());
+                [error, message(b'S', format!("log_position\0{at}\0").as_bytes())].concat()
+            }
+            Some(Say::Nothing) => continue,
+            Some(Say::Close) | None => return,
+        };
+        let told = message(b'S', format!("replication_role\0{role}\0").as_bytes());
+        if stream.write_all(&[answer, told, ready.clone()].concat()).is_err() {
+            return;
+        }
+    }
+}
+
+pub fn row(value: &[u8]) -> Vec<u8> {
+    let description = message(b'T', b"\0\x01content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01");
+    let data = [&[0, 1][..], &(value.len() as u32).to_be_bytes(), value].concat();
+    [description, message(b'D', &data), message(b'C', b"SELECT 1\0")].concat()
+}
