--- a/crates/lifecycle/src/ending.rs
+++ b/crates/lifecycle/src/ending.rs
@@ -63,8 +63,6 @@
     ClientIdle,
     /// The client did not take its answer in time.
     ClientStuck,
-    /// It sent more than could be held.
-    ClientLarge,
     /// Idle, and closed to make room.
     ClientShed,
     /// Idle, and closed since the gateway stops.
@@ -73,7 +71,7 @@
 
 impl End {
     /// All of them, in order.
-    pub const ALL: [End; 32] = [
+    pub const ALL: [End; 31] = [
         End::Served,
         End::Flows,
         End::HostError,
@@ -103,7 +101,6 @@
         End::ClientSilent,
         End::ClientIdle,
         End::ClientStuck,
-        End::ClientLarge,
         End::ClientShed,
         End::Stopped,
     ];
@@ -139,7 +136,6 @@
             | End::ClientSilent
             | End::ClientIdle
             | End::ClientStuck
-            | End::ClientLarge
             | End::ClientShed
             | End::Stopped => Ending::NotSent,
         }
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -4,6 +4,7 @@
 //! | file | whose life | states |
 //! | --- | --- | --- |
 //! | `desk.rs` | requests and attempts before the decision module | open, ended; out, reported |
+//! | `read_ahead.rs` | what is read of a client ahead of the query that is being answered | reading, paused |
 //! | `client.rs` | a client's connection | opening, idle, asking, pausing, cut off, ended |
 //! | `asked.rs` | a client's request at the front | waiting, out, ended |
 //! | `exchange.rs` | an attempt on a connection | connecting, greeting, writing, waiting, answering, ended |
@@ -45,6 +46,7 @@
 pub mod gateway;
 pub mod ops;
 pub mod patience;
+pub mod read_ahead;
 pub mod rest;
 pub mod rules;
 pub mod verdict;
--- /dev/null
+++ b/crates/lifecycle/tests/read_ahead.rs
@@ -0,0 +1,98 @@
+//! Bounds of reading ahead, and the times that messages are given.
+
+use petrelgauge_lifecycle::read_ahead::{ReadAhead, MAX_BYTES, MAX_QUEUED};
+use proptest::prelude::*;
+
+/// A connection that has read `count` messages of `weight` bytes at `now`.
+fn queued(count: usize, weight: usize, now: i64) -> ReadAhead {
+    let mut ahead = ReadAhead::new();
+    ahead.on_read(now, count * weight, usize::MAX);
+    for number in 1..=count {
+        ahead.on_queued(weight, (count - number) * weight);
+    }
+    ahead
+}
+
+#[test]
+fn reading_pauses_at_the_bound_of_messages_and_goes_on_when_one_is_taken() {
+    let mut ahead = queued(MAX_QUEUED, 100, 1_000);
+    assert_eq!(ahead.allowance(), 0);
+    assert!(!ahead.may_queue());
+    ahead.on_taken(100);
+    assert_eq!(ahead.allowance(), MAX_BYTES - (MAX_QUEUED - 1) * 100);
+}
+
+#[test]
+fn reading_pauses_at_the_bound_of_bytes() {
+    let mut ahead = queued(2, MAX_BYTES / 2, 1_000);
+    assert_eq!(ahead.allowance(), 0);
+    ahead.on_taken(MAX_BYTES / 2);
+    assert_eq!(ahead.allowance(), MAX_BYTES / 2);
+    assert_eq!(ahead.held(), MAX_BYTES);
+    ahead.on_done();
+    assert_eq!(ahead.held(), MAX_BYTES / 2);
+}
+
+#[test]
+fn what_is_read_without_a_pause_came_now() {
+    let mut ahead = queued(1, 100, 1_000);
+    ahead.on_read(9_000, 100, 65_536);
+    assert_eq!(ahead.arrived(), 9_000);
+}
+
+#[test]
+fn what_is_read_after_a_pause_may_have_come_at_its_beginning() {
+    let mut ahead = queued(MAX_QUEUED, 100, 1_000);
+    ahead.pause();
+    ahead.on_taken(100);
+    ahead.on_read(9_000, 100, 65_536);
+    assert_eq!(ahead.arrived(), 1_000);
+    // That read left nothing behind: what comes next came after it.
+    ahead.pause();
+    ahead.on_read(12_000, 100, 65_536);
+    assert_eq!(ahead.arrived(), 9_000);
+}
+
+#[test]
+fn what_a_read_leaves_behind_came_no_later_than_what_it_took() {
+    let mut ahead = ReadAhead::new();
+    ahead.on_read(1_000, 65_536, 65_536);
+    assert!(ahead.is_behind());
+    ahead.on_read(7_000, 65_536, 65_536);
+    assert_eq!(ahead.arrived(), 1_000);
+    ahead.on_read(8_000, 10, 65_536);
+    assert_eq!(ahead.arrived(), 1_000);
+    assert!(!ahead.is_behind());
+    ahead.on_read(9_000, 10, 65_536);
+    assert_eq!(ahead.arrived(), 9_000);
+}
+
+proptest! {
+    /// Whatever comes, no more than the bound waits, and a connection with nothing queued may always read on.
+    #[test]
+    fn bounds_hold_and_reading_never_stops_for_good(steps in prop::collection::vec((1usize..70_000, any::<bool>()), 1..200)) {
+        const LONGEST: usize = MAX_BYTES / 2;
+        let (mut ahead, mut queue, mut uncut) = (ReadAhead::new(), Vec::new(), 0usize);
+        for (now, (size, take)) in steps.into_iter().enumerate() {
+            let read = ahead.allowance().min(65_536).min(size);
+            if read > 0 {
+                ahead.on_read(now as i64, read, 65_536);
+                uncut += read;
+            }
+            while uncut >= size.min(LONGEST) && ahead.may_queue() {
+                let weight = size.min(LONGEST);
+                uncut -= weight;
+                ahead.on_queued(weight, uncut);
+                queue.push(weight);
+            }
+            prop_assert!(queue.iter().sum::<usize>() + uncut <= MAX_BYTES);
+            prop_assert!(queue.len() <= MAX_QUEUED);
+            if take && !queue.is_empty() {
+                ahead.on_taken(queue.remove(0));
+            }
+            if queue.is_empty() && uncut < LONGEST {
+                prop_assert!(ahead.allowance() > 0);
+            }
+        }
+    }
+}
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -1,12 +1,14 @@
 //! What this process may hold, shared out between clients and database hosts: descriptors, and the bytes of
 //! messages.
 
+use crate::net::pg;
 use crate::Time;
 use petrelgauge_handover::company::Held;
 pub use petrelgauge_lifecycle::client::Idleness;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use tokio::sync::futures::Notified;
 use tokio::sync::Notify;
 
 /// Descriptors kept for all that is not a client or a host: standard streams, the listener, the reactor,
@@ -27,6 +29,10 @@
     clients: Cell<usize>,
     most_bytes: Cell<usize>,
     bytes: Cell<usize>,
+    /// Told whenever a connection holds fewer bytes than before, or gives the reserve back.
+    freed: Notify,
+    /// A client has the reserve.
+    reserved: Cell<bool>,
     next: Cell<u64>,
     /// Clients that can be closed, by why and then the longest waiting first, each with its beginning.
     idle: RefCell<BTreeMap<Place, (Time, Rc<Notify>)>>,
@@ -50,6 +56,8 @@
             clients: Cell::new(0),
             most_bytes: Cell::new(memory / MESSAGES),
             bytes: Cell::new(0),
+            freed: Notify::new(),
+            reserved: Cell::new(false),
             next: Cell::new(0),
             idle: RefCell::new(BTreeMap::new()),
         })
@@ -115,7 +123,7 @@
     /// The bytes of a connection, none so far. Clients leave a quarter of all to what hosts answer.
     pub fn hold(self: &Rc<Self>, client: bool) -> Hold {
         let most = if client { self.most_bytes.get() / 4 * 3 } else { self.most_bytes.get() };
-        Hold { budget: self.clone(), bytes: 0, most }
+        Hold { budget: self.clone(), bytes: 0, most, reserve: Cell::new(false) }
     }
 }
 
@@ -150,6 +158,8 @@
     budget: Rc<Budget>,
     bytes: usize,
     most: usize,
+    /// It may go over `most` to make one message whole.
+    reserve: Cell<bool>,
 }
 
 impl Hold {
@@ -157,13 +167,48 @@
     pub fn set(&mut self, bytes: usize) -> bool {
         let all = &self.budget.bytes;
         all.set(all.get() - self.bytes + bytes);
-        let grown = bytes > std::mem::replace(&mut self.bytes, bytes);
-        !grown || bytes <= USUAL || all.get() <= self.most
+        let before = std::mem::replace(&mut self.bytes, bytes);
+        if bytes < before {
+            self.budget.freed.notify_waiters();
+        }
+        bytes <= before || bytes <= USUAL || all.get() <= self.most
+    }
+
+    /// Takes the reserve of one message, if no other connection has it. Without it, messages that have begun could
+    /// hold all memory, and none of them ever become whole.
+    pub fn take_reserve(&self) -> bool {
+        if !self.budget.reserved.replace(true) {
+            self.reserve.set(true);
+        }
+        self.reserve.get()
+    }
+
+    /// Gives the reserve back, if it has it.
+    pub fn give_reserve(&self) {
+        if self.reserve.take() {
+            self.budget.reserved.set(false);
+            self.budget.freed.notify_waiters();
+        }
+    }
+
+    /// Bytes that this connection may hold beyond what it holds.
+    pub fn free(&self) -> usize {
+        if self.reserve.get() {
+            return pg::MOST;
+        }
+        let shared = self.most.saturating_sub(self.budget.bytes.get());
+        shared.max(USUAL.saturating_sub(self.bytes))
+    }
+
+    /// Ends when a connection holds fewer bytes than when this was called, or gives the reserve back.
+    pub fn freed(&self) -> Notified<'_> {
+        self.budget.freed.notified()
     }
 }
 
 impl Drop for Hold {
     fn drop(&mut self) {
         self.set(0);
+        self.give_reserve();
     }
 }
--- /dev/null
+++ b/src/net/client_reader.rs
@@ -0,0 +1,301 @@
+//! Reads one client's messages in order, a bounded number of them ahead of the one that is being answered.
+
+use crate::net::budget::Hold;
+use crate::net::clock::Clock;
+use crate::net::counters::Counters;
+use crate::net::ending::End;
+use crate::net::front::Front;
+use crate::net::pg::{self, Framer, Message, Opening};
+use crate::net::room::{self, Room};
+use crate::Time;
+use bytes::Bytes;
+use petrelgauge_lifecycle::client::{Event, Kind, Stage};
+use petrelgauge_lifecycle::read_ahead::ReadAhead;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use tokio::io::Interest;
+use tokio::net::tcp::ReadHalf;
+
+/// Span in which a query that is open may still be answered when bytes behind it made no sense (microseconds).
+const GRACE: Time = 1_000_000;
+
+/// Messages of a client in order, each with the time at which it came: a client counts its wait from its sending, also
+/// when other queries are answered first. What is held is bounded by [`ReadAhead`] and by the memory of all connections;
+/// at either bound reading pauses, and only the client's leaving is still noticed.
+pub(super) struct ClientReader<'a> {
+    reader: ReadHalf<'a>,
+    clock: Clock,
+    room: Rc<Room>,
+    counters: Rc<Counters>,
+    hold: Hold,
+    pub(super) framer: Framer,
+    /// Bounded by [`petrelgauge_lifecycle::read_ahead::MAX_QUEUED`].
+    queue: VecDeque<(Message, Time)>,
+    ahead: ReadAhead,
+    /// What made no sense, and until when what came before it may still be answered.
+    pub(super) error: Option<(ProtocolError, Time)>,
+}
+
+/// Why a client is cut off.
+#[derive(Clone, Copy)]
+pub(super) struct ProtocolError {
+    pub(super) end: End,
+    pub(super) code: &'static str,
+    pub(super) text: &'static str,
+}
+
+impl From<pg::Malformed> for ProtocolError {
+    fn from(malformed: pg::Malformed) -> ProtocolError {
+        ProtocolError { end: End::ClientMalformed, code: "08P01", text: malformed.0 }
+    }
+}
+
+pub(super) const UNKNOWN: ProtocolError =
+    ProtocolError { end: End::ClientMalformed, code: "08P01", text: "invalid frontend message type" };
+pub(super) const UNFINISHED: ProtocolError =
+    ProtocolError { end: End::ClientSilent, code: "08P01", text: "message not whole in time" };
+
+impl<'a> ClientReader<'a> {
+    pub(super) fn new(reader: ReadHalf<'a>, front: &Front) -> ClientReader<'a> {
+        ClientReader {
+            reader,
+            clock: front.clock,
+            room: front.room.clone(),
+            counters: front.counters.clone(),
+            hold: front.budget.hold(true),
+            framer: Framer::default(),
+            queue: VecDeque::new(),
+            ahead: ReadAhead::new(),
+            error: None,
+        }
+    }
+
+    /// Bytes that may be read now.
+    fn allowance(&self) -> usize {
+        match self.error {
+            // Nothing is kept behind an error: it is read only to notice the client leave.
+            Some(_) => room::SIZE,
+            None => self.ahead.allowance().min(self.hold.free()),
+        }
+    }
+
+    /// The kernel may hold bytes that could be read now.
+    pub(super) fn may_read(&self) -> bool {
+        self.allowance() > 0
+    }
+
+    /// Bytes that came before the last read may still lie in the kernel.
+    pub(super) fn is_behind(&self) -> bool {
+        self.ahead.is_behind()
+    }
+
+    /// Waits until something may be read: gives how much, or the client's leaving. At the connection's own bound it
+    /// waits for that alone: whoever takes a message up reads anew.
+    async fn wait_for_allowance(&mut self) -> Result<usize, End> {
+        loop {
+            // Made before the look, so that nothing that is freed in between is missed.
+            let freed = self.hold.freed();
+            let allowance = self.allowance();
+            if allowance > 0 {
+                return Ok(allowance);
+            }
+            if self.ahead.is_starved() && self.hold.take_reserve() {
+                continue;
+            }
+            if !self.ahead.is_paused() {
+                self.ahead.pause();
+                self.counters.read_pauses.add();
+            }
+            let waits_for_memory = self.ahead.allowance() > 0;
+            tokio::select! {
+                biased;
+                () = closed(&self.reader) => return Err(End::ClientLeft),
+                () = freed, if waits_for_memory => {}
+            }
+        }
+    }
+
+    /// Reads once, when it may. May be cancelled without loss.
+    async fn read(&mut self) -> Result<(), End> {
+        let allowance = self.wait_for_allowance().await?;
+        let mut framer = self.error.is_none().then_some(&mut self.framer);
+        let reader = &self.reader;
+        let (read, asked) = loop {
+            reader.readable().await.map_err(|_| End::ClientLeft)?;
+            let mut asked = 0;
+            let once = |bytes: &mut [u8]| {
+                asked = allowance.min(bytes.len());
+                reader.try_read(&mut bytes[..asked])
+            };
+            match self.room.read(once, framer.as_deref_mut()) {
+                Ok(Some(0)) | Err(_) => return Err(End::ClientLeft),
+                Ok(Some(read)) => break (read, asked),
+                Ok(None) => {}
+            }
+        };
+        if self.error.is_none() {
+            self.ahead.on_read(self.clock.now(), read, asked);
+            self.hold.set(self.ahead.held());
+        }
+        // A client that sends without a pause must not keep the others from being served.
+        tokio::task::yield_now().await;
+        Ok(())
+    }
+
+    /// The connection is to end for this reason; nothing that follows is kept.
+    pub(super) fn fail(&mut self, error: ProtocolError) {
+        self.error = self.error.or(Some((error, self.clock.now() + GRACE)));
+        self.framer.clear();
+        self.ahead.set_uncut(0);
+    }
+
+    async fn opening(&mut self) -> Result<Result<Opening, ProtocolError>, End> {
+        loop {
+            let opening = self.framer.opening();
+            self.ahead.set_uncut(self.framer.len());
+            match (opening, self.error) {
+                (Err(malformed), _) => return Ok(Err(malformed.into())),
+                (_, Some((error, _))) => return Ok(Err(error)),
+                (Ok(Some(opening)), _) => return Ok(Ok(opening)),
+                (Ok(None), _) => self.read().await?,
+            }
+        }
+    }
+
+    /// Reads and forgets until the client leaves.
+    pub(super) async fn discard(&mut self) {
+        while self.read().await.is_ok() {
+            self.framer.clear();
+        }
+    }
+
+    /// Cuts what was read into messages, as many as may be queued.
+    fn cut(&mut self) {
+        while self.error.is_none() && self.ahead.may_queue() {
+            match self.framer.message() {
+                Ok(Some(message)) => {
+                    self.ahead.on_queued(weight(&message), self.framer.len());
+                    self.queue.push_back((message, self.ahead.arrived()));
+                }
+                Ok(None) => break,
+                Err(malformed) => self.fail(malformed.into()),
+            }
+        }
+        self.hold.set(self.ahead.held());
+    }
+
+    /// Something that can be taken up lies here: a whole message, or a reason to cut the client off. What was read in a
+    /// wait that was cancelled is here and nowhere else.
+    pub(super) fn holds(&mut self, stage: Stage) -> bool {
+        if stage == Stage::Opening {
+            return self.error.is_some() || self.framer.holds_opening();
+        }
+        self.cut();
+        self.error.is_some() || !self.queue.is_empty()
+    }
+
+    /// The next message. May be cancelled without loss.
+    async fn next(&mut self) -> Result<Result<(Message, Time), ProtocolError>, End> {
+        self.ahead.on_done();
+        self.hold.give_reserve();
+        loop {
+            self.cut();
+            match self.error {
+                Some((error, by)) if self.queue.is_empty() || self.clock.now() >= by => {
+                    return Ok(Err(error))
+                }
+                _ => {}
+            }
+            if let Some((message, at)) = self.queue.pop_front() {
+                self.ahead.on_taken(weight(&message));
+                return Ok(Ok((message, at)));
+            }
+            self.read().await?;
+        }
+    }
+
+    /// What the client sent next. May be cancelled without loss.
+    pub(super) async fn hear(&mut self, stage: Stage) -> ClientEvent {
+        let heard = if stage == Stage::Opening {
+            self.opening().await.map(|opened| {
+                opened.map(|opening| match opening {
+                    Opening::Encryption => Event::Encryption.into(),
+                    Opening::Cancel => Event::Cancel.into(),
+                    Opening::Startup { minor } => ClientEvent { minor, ..Event::Opened.into() },
+                })
+            })
+        } else {
+            self.next().await.map(|next| {
+                let (message, at) = next?;
+                let kind = Kind::of(message.kind());
+                let query = if kind == Kind::Query { Some((message.text()?, at)) } else { None };
+                Ok(ClientEvent { query, ..Event::Message(kind).into() })
+            })
+        };
+        match heard {
+            Ok(Ok(heard)) => heard,
+            Ok(Err(error)) => ClientEvent { error: Some(error), ..Event::Flawed(error.end).into() },
+            Err(end) => Event::Left(end).into(),
+        }
+    }
+
+    /// Reads ahead until the client leaves, or what it sent must be answered with its end. A goodbye is its leaving,
+    /// whatever it asked before: who says it closes at once. May be cancelled without loss.
+    pub(super) async fn left(&mut self) -> End {
+        loop {
+            self.cut();
+            if self.queue.iter().any(|(message, _)| Kind::of(message.kind()) == Kind::Terminate) {
+                return End::ClientTerminated;
+            }
+            let error = self.error;
+            let read = tokio::select! {
+                biased;
+                () = due(self.clock, error) => return error.map_or(End::ClientLeft, |(error, _)| error.end),
+                read = self.read() => read,
+            };
+            if let Err(end) = read {
+                return end;
+            }
+        }
+    }
+}
+
+/// Something that happened, with what it brought.
+pub(super) struct ClientEvent {
+    pub(super) event: Event,
+    /// A query's text, and when it came.
+    pub(super) query: Option<(Bytes, Time)>,
+    /// The protocol's minor version that was asked for.
+    pub(super) minor: u16,
+    pub(super) error: Option<ProtocolError>,
+}
+
+impl From<Event> for ClientEvent {
+    fn from(event: Event) -> ClientEvent {
+        ClientEvent { event, query: None, minor: 0, error: None }
+    }
+}
+
+/// Waits until an error must be answered, if there is one.
+async fn due(clock: Clock, error: Option<(ProtocolError, Time)>) {
+    match error {
+        Some((_, by)) => clock.sleep_until(by).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Waits until the client has closed its side or the connection broke, without reading. Of the readiness that it asks
+/// for the reactor tells closing alone: urgent data is not registered for.
+async fn closed(reader: &ReadHalf<'_>) {
+    loop {
+        match reader.ready(Interest::PRIORITY).await {
+            Ok(ready) if !ready.is_read_closed() => tokio::task::yield_now().await,
+            _ => return,
+        }
+    }
+}
+
+/// What a message that waits costs: a flood of the smallest ones must not cost more than it seems.
+fn weight(message: &Message) -> usize {
+    message.raw.len() + std::mem::size_of::<(Message, Time)>()
+}
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -38,6 +38,8 @@
     failed,
     /// Requests whose client left before the answer.
     left,
+    /// Times that reading from a client paused at a bound.
+    read_pauses,
     /// Statements that could not be used.
     bad_statements,
     /// Attempts handed out by the decisions.
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -3,12 +3,13 @@
 use crate::facade::{Decision, Facade, Request, Visit};
 use crate::net::attempt::{Given, GivenAnswer};
 use crate::net::budget::{Budget, Idleness, Slot};
+use crate::net::client_reader::{ClientEvent, ClientReader, ProtocolError, UNFINISHED, UNKNOWN};
 use crate::net::clock::Clock;
 use crate::net::counters::{Counters, Gauge};
 use crate::net::ending::End;
 use crate::net::flow::Flow;
 use crate::net::hosts::Hosts;
-use crate::net::inbox::{Flaw, Heard, Inbox, UNFINISHED, UNKNOWN};
+
 use crate::net::pg::{self, Answer, Severity};
 use crate::net::room::Room;
 use crate::net::set::{self, Setting};
@@ -114,7 +115,7 @@
         let (reader, writer) = stream.split();
         let mut session = Session {
             front: self.clone(),
-            inbox: Inbox::new(reader, &self),
+            reader: ClientReader::new(reader, &self),
             writer,
             shed: Rc::new(Notify::new()),
             door: self.door.clone(),
@@ -155,7 +156,7 @@
 
 struct Session<'a> {
     front: Rc<Front>,
-    inbox: Inbox<'a>,
+    reader: ClientReader<'a>,
     writer: WriteHalf<'a>,
     shed: Rc<Notify>,
     door: watch::Receiver<Door>,
@@ -194,7 +195,7 @@
                 Do::Wait | Do::Answer | Do::Pause { .. } => continue,
                 Do::Close(end) => return Ok(end),
                 Do::CutOff { unfinished: true, .. } => return self.cut_off(UNFINISHED).await,
-                Do::CutOff { .. } => return self.cut_off(heard.flaw.unwrap_or(UNKNOWN)).await,
+                Do::CutOff { .. } => return self.cut_off(heard.error.unwrap_or(UNKNOWN)).await,
                 Do::Decline => out.push(b'N'),
                 Do::Welcome => pg::put_welcome(&mut out, heard.minor, number),
                 Do::Ready => pg::put_ready(&mut out),
@@ -210,13 +211,13 @@
     }
 
     /// Waits for what happens next. What the client sent goes before every reason to close.
-    async fn hear(&mut self, life: &Client) -> Heard {
+    async fn hear(&mut self, life: &Client) -> ClientEvent {
         let (front, shed, mut door) = (self.front.clone(), self.shed.clone(), self.door.clone());
         let clock = front.clock;
         if let Stage::Pausing { until } = life.stage() {
             return tokio::select! {
                 () = clock.sleep_until(until) => Happens::Rested.into(),
-                end = self.inbox.left() => match self.flawed(end) {
+                end = self.reader.left() => match self.flawed(end) {
                     true => Happens::Rested.into(),
                     false => Happens::Left(end).into(),
                 },
@@ -225,7 +226,8 @@
         let (why, since) = life.idleness();
         // The process may be killed soon: nothing more is read, and what was read is answered first.
         let over = clock.now() >= front.last_reads.get().of(why);
-        if door.borrow().empties() && over && !self.inbox.holds(life.stage()) {
+        let done = !self.reader.holds(life.stage()) && !self.reader.is_behind();
+        if door.borrow().empties() && over && done {
             return Happens::Stop { unread: false }.into();
         }
         let _idle = front.budget.idle(why, since, &shed);
@@ -238,7 +240,7 @@
         };
         tokio::select! {
             biased;
-            heard = self.inbox.hear(life.stage()) => heard,
+            heard = self.reader.hear(life.stage()) => heard,
             () = shed.notified() => {
                 let unread = self.unread(life.stage()).await;
                 if unread {
@@ -249,14 +251,14 @@
             }
             _ = closed => {
                 let last = front.last.get().min(since + LAST_MESSAGE);
-                let begun = !self.inbox.framer.is_empty() && clock.now() < last;
+                let begun = !self.reader.framer.is_empty() && clock.now() < last;
                 let unread = self.unread(life.stage()).await;
                 self.close_from = if begun { clock.now() + LOOK } else { self.close_from };
                 Happens::Stop { unread: unread || begun }.into()
             }
             () = clock.sleep_until(life.due()) => {
                 let unread = self.unread(life.stage()).await;
-                Happens::Due { unread, begun: !self.inbox.framer.is_empty() }.into()
+                Happens::Due { unread, begun: !self.reader.framer.is_empty() }.into()
             }
         }
     }
@@ -265,9 +267,13 @@
     /// and one that was not has to be sent again. The kernel is asked itself, for the reactor has not yet heard of what
     /// came a moment ago. After it the reactor knows.
     async fn unread(&mut self, stage: Stage) -> bool {
-        if self.inbox.holds(stage) {
+        if self.reader.holds(stage) {
             return true;
         }
+        if !self.reader.may_read() {
+            // It waits for memory in the middle of a message.
+            return false;
+        }
         let mut first = [std::mem::MaybeUninit::uninit()];
         let unread = matches!(SockRef::from(self.writer.as_ref()).peek(&mut first), Ok(1..));
         if unread {
@@ -283,34 +289,36 @@
 
     /// The connection is to end so, since what came on it made no sense.
     fn flawed(&self, end: End) -> bool {
-        self.inbox.flaw.is_some_and(|(flaw, _)| flaw.end == end)
+        self.reader.error.is_some_and(|(error, _)| error.end == end)
     }
 
     /// Says why the connection ends, and ends it.
-    async fn cut_off(&mut self, flaw: Flaw) -> Result<End, End> {
+    async fn cut_off(&mut self, error: ProtocolError) -> Result<End, End> {
         let mut out = Vec::new();
-        pg::put_error(&mut out, Severity::Fatal, flaw.code, flaw.text, None);
+        pg::put_error(&mut out, Severity::Fatal, error.code, error.text, None);
         let clock = self.front.clock;
-        self.inbox.flawed(flaw);
+        self.reader.fail(error);
         self.write(&out[..], clock.now()).await?;
         // Closed with bytes unread, the connection would be reset and the client not see the reason.
         let _ = self.writer.shutdown().await;
         let _idle = self.front.budget.idle(Idleness::CutOff, clock.now(), &self.shed);
         let by = clock.now() + LINGER;
         tokio::select! {
-            () = self.inbox.discard() => {}
+            () = self.reader.discard() => {}
             () = self.shed.notified() => {}
             () = clock.sleep_until(by) => {}
         }
-        Ok(flaw.end)
+        Ok(error.end)
     }
 
     /// Writes all of it, or ends the connection of a client that does not take it.
     async fn write(&mut self, mut bytes: impl Buf, end: Time) -> Result<(), End> {
+        // A request that waited behind others may end long after its time.
+        let by = end.max(self.front.clock.now()) + TAKING;
         tokio::select! {
             biased;
             written = self.writer.write_all_buf(&mut bytes) => written.map_err(|_| End::ClientLeft),
-            () = self.front.clock.sleep_until(end + TAKING) => Err(End::ClientStuck),
+            () = self.front.clock.sleep_until(by) => Err(End::ClientStuck),
         }
     }
 
@@ -414,7 +422,8 @@
         let (mut out, given) = (Vec::new(), self.decide(&taken).await?);
         let counters = &self.front.counters;
         log::debug!(
-            "request class={} cluster={} end={} took={} left={}",
+            "request id={} class={} cluster={} end={} took={} left={}",
+            taken.statement.id,
             taken.statement.class,
             taken.statement.cluster,
             given.word(),
@@ -504,7 +513,7 @@
                     Decision::Refuse { wait } => Event::Refused { wait },
                     Decision::Fail => Event::Failed,
                 },
-                end = self.inbox.left() => {
+                end = self.reader.left() => {
                     left = end;
                     Event::Left
                 }
--- /dev/null
+++ b/tests/pipelining.rs
@@ -0,0 +1,231 @@
+//! Clients that send many queries at once. The gateway reads a bounded part of them ahead, leaves the others in the
+//! kernel, and answers all of them in order.
+
+mod stage;
+use stage::*;
+
+/// More than may be queued, and in bytes more than one read takes: a part of it stays in the kernel.
+const BATCH: usize = 1_000;
+
+/// A value that takes its statement near the longest message.
+const LARGE: usize = 50_000;
+
+fn read(number: usize, wait_ms: u64) -> Vec<u8> {
+    query(&select(&format!("row-{number}"), "view", wait_ms).replace("9b1f", &format!("{number:x}")))
+}
+
+fn write(number: usize, size: usize) -> Vec<u8> {
+    let text = insert(&format!("row-{number}"), 60_000).replace("9b1f", &format!("{number:x}"));
+    let value = "9f".repeat(size);
+    query(&text.replace("5c0f", &format!("{number:x}")).replace("9f03", &value))
+}
+
+fn batch(one: impl Fn(usize) -> Vec<u8>, count: usize) -> Vec<u8> {
+    (0..count).flat_map(one).collect()
+}
+
+/// The value that a host gives to the query of this number.
+fn value(number: usize) -> &'static [u8] {
+    format!("value-{number}").leak().as_bytes()
+}
+
+/// A host that answers the first query only when the test says so, and the others at once.
+fn script(count: usize) -> Vec<Say> {
+    let others = (1..count).map(|number| Say::Row(value(number)));
+    std::iter::once(Say::WaitForGo(value(0))).chain(others).collect()
+}
+
+fn expect_rows(client: &mut Client, count: usize) {
+    for number in 0..count {
+        let answer = client.until_ready();
+        assert_eq!(kinds(&answer), "TDCZ", "answer {number}");
+        assert!(answer[1].1.ends_with(value(number)), "answer {number} out of order");
+    }
+}
+
+fn expect_queries(host: &Host, count: usize) {
+    for number in 0..count {
+        let name = format!("'row-{number}'");
+        assert!(host.next_query().contains(&name), "query {number} out of order");
+    }
+    assert_eq!(host.queries(), count);
+}
+
+#[test]
+fn a_batch_over_the_bound_of_messages_is_answered_whole_and_in_order() {
+    let stage = Stage::new(220);
+    let host = stage.host(script(BATCH));
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let mut client = gateway.client();
+    let written = client.write_behind(batch(|number| read(number, 60_000), BATCH));
+    gateway.wait_for("read_pauses=", |count| count >= 1);
+    host.go();
+    expect_rows(&mut client, BATCH);
+    expect_queries(&host, BATCH);
+    written.join().expect("it ends").expect("all is read");
+}
+
+#[test]
+fn a_batch_over_the_bound_of_bytes_is_answered_whole_and_in_order() {
+    const COUNT: usize = 40;
+    let stage = Stage::new(221);
+    let host = stage.host(script(COUNT));
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let mut client = gateway.client();
+    let written = client.write_behind(batch(|number| write(number, LARGE), COUNT));
+    gateway.wait_for("read_pauses=", |count| count >= 1);
+    host.go();
+    expect_rows(&mut client, COUNT);
+    expect_queries(&host, COUNT);
+    written.join().expect("it ends").expect("all is read");
+}
+
+// With one megabyte, clients together may have 192 KiB waiting: less than two of these messages each.
+#[test]
+fn batches_over_the_memory_of_all_are_answered_whole() {
+    const COUNT: usize = 8;
+    const CLIENTS: usize = 3;
+    let stage = Stage::new(222);
+    let mut script: Vec<Say> = (0..CLIENTS).map(|_| Say::WaitForGo(b"first")).collect();
+    script.extend((0..CLIENTS * (COUNT - 1)).map(|_| Say::Row(b"later")));
+    let host = stage.host(script);
+    let stage = stage.list(&[(&host, "up", "primary")]);
+    let config = stage.config().replace("\"memory_mb\":192", "\"memory_mb\":1");
+    let gateway = stage.start_as(&config);
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| gateway.client()).collect();
+    let mut writers = Vec::new();
+    for (place, client) in clients.iter().enumerate() {
+        let first = place * COUNT;
+        writers.push(client.write_behind(batch(|number| write(first + number, LARGE), COUNT)));
+    }
+    gateway.wait_for("read_pauses=", |count| count >= 1);
+    (0..CLIENTS).for_each(|_| host.go());
+    for client in &mut clients {
+        for number in 0..COUNT {
+            assert_eq!(kinds(&client.until_ready()), "TDCZ", "answer {number}");
+        }
+    }
+    assert_eq!(host.queries(), CLIENTS * COUNT);
+    writers.into_iter().for_each(|written| written.join().expect("it ends").expect("all is read"));
+}
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+enum Leave {
+    Fin,
+    Reset,
+    Terminate,
+}
+
+fn leave(mut client: Client, how: Leave) {
+    match how {
+        Leave::Fin => {}
+        Leave::Reset => client.reset(),
+        Leave::Terminate => client.write(&message(b'X', b"")),
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_nothing_is_read_from_it_is_noticed() {
+    for (number, how) in (223..).zip([Leave::Fin, Leave::Reset, Leave::Terminate]) {
+        let stage = Stage::new(number);
+        let host = stage.host(vec![Say::WaitForGo(b"first"), Say::Row(b"other")]);
+        let gateway = stage.list(&[(&host, "up", "primary")]).start();
+        let mut client = gateway.client();
+        client.write(&batch(|number| read(number, 60_000), BATCH));
+        host.next_query();
+        gateway.wait_for("read_pauses=", |count| count >= 1);
+        leave(client, how);
+        // Its first request is withdrawn while its answer is still out, and nothing behind it goes out.
+        gateway.wait_for_counter("left=1 ");
+        host.go();
+        assert_eq!(kinds(&gateway.client().ask(&select("other", "view", 25_000))), "TDCZ", "{how:?}");
+        assert_eq!(host.queries(), 2, "{how:?}");
+        gateway.wait_for_counter("requests=2 ");
+    }
+}
+
+#[test]
+fn a_client_that_sends_without_end_holds_bounded_memory_and_keeps_nobody_from_being_served() {
+    const MOST: usize = 64 * 1024 * 1024;
+    let stage = Stage::new(226);
+    let host = stage.host(vec![Say::WaitForGo(b"first"), Say::Row(b"other")]);
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let mut client = gateway.client();
+    let before = gateway.memory();
+    let written = client.flood(&batch(|number| read(number, 60_000), 1000), MOST);
+    assert!(written < MOST, "the sockets are full at some time");
+    gateway.wait_for("read_pauses=", |count| count >= 1);
+    let grown = gateway.memory().saturating_sub(before);
+    assert!(grown < 2 * 1024 * 1024, "{written} bytes written, {grown} held");
+    assert_eq!(kinds(&gateway.client().ask(&select("other", "view", 25_000))), "TDCZ");
+    assert_eq!(host.queries(), 2);
+}
+
+#[test]
+fn requests_that_wait_unread_behind_others_end_in_their_time_and_in_order() {
+    let stage = Stage::new(227);
+    let host = stage.host(vec![Say::Nothing, Say::Row(b"after")]);
+    let gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let mut client = gateway.client();
+    let written = client.write_behind(batch(|number| read(number, 1_500), BATCH));
+    gateway.wait_for("read_pauses=", |count| count >= 1);
+    // A read may be repeated, so that the first, which went out, may be refused as well.
+    for number in 0..BATCH {
+        let answer = client.until_ready();
+        assert_eq!(kinds(&answer), "EZ", "answer {number}");
+        assert_eq!(field(&answer[0].1, b'C'), "53300", "answer {number}");
+    }
+    // Not one of them went out after its time.
+    assert_eq!(host.queries(), 1);
+    written.join().expect("it ends").expect("all is read");
+}
+
+#[test]
+fn a_stop_answers_also_what_was_not_read_yet() {
+    let stage = Stage::new(228);
+    let host = stage.host(script(BATCH));
+    let mut gateway = stage.list(&[(&host, "up", "primary")]).start();
+    let mut client = gateway.client();
+    let written = client.write_behind(batch(|number| read(number, 25_000), BATCH));
+    gateway.wait_for("read_pauses=", |count| count >= 1);
+    gateway.signal("TERM");
+    gateway.line_with("stopping");
+    host.go();
+    // Rows up to the time at which the last answers of a stop are due, then refusals.
+    let answers: Vec<_> = (0..BATCH).map(|_| client.until_ready()).collect();
+    let served = answers.iter().take_while(|answer| kinds(answer) == "TDCZ").count();
+    assert!(served > 0);
+    for (number, answer) in answers.iter().enumerate() {
+        match number < served {
+            true => assert!(answer[1].1.ends_with(value(number)), "answer {number} out of order"),
+            false => assert_eq!(kinds(answer), "EZ", "answer {number}"),
+        }
+    }
+    assert_eq!(client.until_end(), b"");
+    assert_eq!(gateway.ended().0, Some(0));
+    written.join().expect("it ends").expect("all is read");
+}
+
+// The first request ends when nothing more is to be read from clients that had an answer; what waits behind it in the
+// kernel was taken before the stop.
+#[test]
+fn a_stop_answers_also_what_is_unread_in_its_second_half() {
+    let stage = Stage::new(229);
+    let host = stage.host(vec![Say::Row(b"before"), Say::Nothing]);
+    let stage = stage.list(&[(&host, "up", "primary")]);
+    let config = stage.config().replace("\"deadline_us\":30000000", "\"deadline_us\":1000000");
+    let config = config.replace("\"aim_us\":4000000", "\"aim_us\":900000");
+    let mut gateway = stage.start_as(&config);
+    let mut client = gateway.client();
+    assert_eq!(kinds(&client.ask(&select("before", "view", 900))), "TDCZ");
+    let written = client.write_behind(batch(|number| read(number, 2_000), BATCH));
+    gateway.wait_for("read_pauses=", |count| count >= 1);
+    gateway.signal("TERM");
+    for number in 0..BATCH {
+        assert_eq!(kinds(&client.until_ready()), "EZ", "answer {number}");
+    }
+    assert_eq!(client.until_end(), b"");
+    assert_eq!(gateway.ended().0, Some(0));
+    written.join().expect("it ends").expect("all is read");
+}
--- a/tests/stage/gateway.rs
+++ b/tests/stage/gateway.rs
@@ -68,6 +68,14 @@
         self.signal("HUP");
     }
 
+    /// Its resident memory, in bytes.
+    pub fn memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).expect("it runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a size");
+        let kilobytes: usize = line.trim().trim_end_matches("kB").trim().parse().expect("a number");
+        kilobytes * 1024
+    }
+
     /// Its process.
     pub fn id(&self) -> u32 {
         self.child.id()
@@ -177,6 +185,27 @@
         self.0.write_all(bytes).expect("it is read");
     }
 
+    /// Writes in a thread of its own: what the gateway does not read may not fit into the sockets.
+    pub fn write_behind(&self, bytes: Vec<u8>) -> thread::JoinHandle<std::io::Result<()>> {
+        let mut stream = self.0.try_clone().expect("a second handle");
+        thread::spawn(move || stream.write_all(&bytes))
+    }
+
+    /// Writes as much of it, over and over, as the sockets take, until nothing more was taken for a second; says how
+    /// much that was, `most` bytes at the most.
+    pub fn flood(&mut self, bytes: &[u8], most: usize) -> usize {
+        self.0.set_write_timeout(Some(Duration::from_secs(1))).expect("a limit");
+        let mut written = 0;
+        while written < most {
+            let from = written % bytes.len();
+            match self.0.write(&bytes[from..]) {
+                Ok(count) => written += count,
+                Err(_) => break,
+            }
+        }
+        written
+    }
+
     pub fn bytes(&mut self, count: usize) -> Vec<u8> {
         let mut bytes = vec![0; count];
         self.0.read_exact(&mut bytes).expect("so many bytes");
