--- a/crates/lab/src/hosts.rs
+++ b/crates/lab/src/hosts.rs
@@ -2,6 +2,7 @@
 
 use crate::group::{Group, Part};
 use bytes::Bytes;
+use petrelgauge::net::cancel::CancelKey;
 use petrelgauge::net::clock::Clock;
 use petrelgauge::net::pg::{self, Framer, Opening, Severity};
 use petrelgauge::Time;
@@ -83,7 +84,7 @@
                 if let Some(opening) = framer.opening().ok()? {
                     let Opening::Startup { minor } = opening else { return None };
                     let mut out = Vec::new();
-                    pg::put_welcome(&mut out, minor, 1);
+                    pg::put_welcome(&mut out, minor, CancelKey { process: 1, secret: 0 });
                     stream.write_all(&out).await.ok()?;
                     open = true;
                     continue;
--- a/crates/lifecycle/src/client.rs
+++ b/crates/lifecycle/src/client.rs
@@ -144,7 +144,7 @@
 
 /// What is to be done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Do {
+pub enum Action {
     /// Wait for what comes next.
     Wait,
     /// Decline encryption.
@@ -226,81 +226,87 @@
     }
 
     /// Something happened. What does not fit the stage is nothing.
-    pub fn on(&mut self, now: Time, event: Event) -> Do {
+    pub fn on(&mut self, now: Time, event: Event) -> Action {
         let to_do = self.next(now, event);
         self.stage = match to_do {
-            Do::Welcome => Stage::Idle,
-            Do::Answer => Stage::Asking,
-            Do::Pause { until } => Stage::Pausing { until },
-            Do::CutOff { .. } => Stage::CutOff,
-            Do::Close(end) => Stage::Ended(end),
-            Do::Wait | Do::Decline | Do::Ready | Do::Unsupported { .. } => match (self.stage, event) {
-                (Stage::Asking, Event::Answered(_)) | (Stage::Pausing { .. }, Event::Rested) => Stage::Idle,
-                (stage, _) => stage,
-            },
+            Action::Welcome => Stage::Idle,
+            Action::Answer => Stage::Asking,
+            Action::Pause { until } => Stage::Pausing { until },
+            Action::CutOff { .. } => Stage::CutOff,
+            Action::Close(end) => Stage::Ended(end),
+            Action::Wait | Action::Decline | Action::Ready | Action::Unsupported { .. } => {
+                match (self.stage, event) {
+                    (Stage::Asking, Event::Answered(_)) | (Stage::Pausing { .. }, Event::Rested) => {
+                        Stage::Idle
+                    }
+                    (stage, _) => stage,
+                }
+            }
         };
         to_do
     }
 
-    fn next(&mut self, now: Time, event: Event) -> Do {
+    fn next(&mut self, now: Time, event: Event) -> Action {
         match (self.stage, event) {
-            (Stage::Ended(end), _) => Do::Close(end),
-            (Stage::CutOff, Event::Left(end)) => Do::Close(end),
-            (Stage::CutOff, _) => Do::Wait,
-            (_, Event::Left(end)) => Do::Close(end),
+            (Stage::Ended(end), _) => Action::Close(end),
+            (Stage::CutOff, Event::Left(end)) => Action::Close(end),
+            (Stage::CutOff, _) => Action::Wait,
+            (_, Event::Left(end)) => Action::Close(end),
 
-            (Stage::Opening, Event::Encryption) => Do::Decline,
+            (Stage::Opening, Event::Encryption) => Action::Decline,
             // There is nothing to cancel by key: a client that no longer waits closes its connection.
-            (Stage::Opening, Event::Cancel) => Do::Close(End::ClientTerminated),
-            (Stage::Opening, Event::Opened) => Do::Welcome,
-            (Stage::Opening, Event::Due { unread: false, .. }) => Do::Close(End::ClientSilent),
+            (Stage::Opening, Event::Cancel) => Action::Close(End::ClientTerminated),
+            (Stage::Opening, Event::Opened) => Action::Welcome,
+            (Stage::Opening, Event::Due { unread: false, .. }) => Action::Close(End::ClientSilent),
 
             (Stage::Idle, Event::Message(kind)) => self.message(now, kind),
             (Stage::Idle, Event::Due { unread: false, begun }) => match begun {
-                false => Do::Close(End::ClientIdle),
-                true if now >= self.whole_by => Do::CutOff { unknown: false, unfinished: true },
+                false => Action::Close(End::ClientIdle),
+                true if now >= self.whole_by => Action::CutOff { unknown: false, unfinished: true },
                 true => {
                     self.idle_by = self.whole_by;
-                    Do::Wait
+                    Action::Wait
                 }
             },
 
-            (Stage::Asking, Event::Stop { .. }) if mutant(Mutant::ClosedWhileOwed) => Do::Close(End::Stopped),
-            (Stage::Idle, Event::Stop { .. }) if mutant(Mutant::ClosedUnread) => Do::Close(End::Stopped),
+            (Stage::Asking, Event::Stop { .. }) if mutant(Mutant::ClosedWhileOwed) => {
+                Action::Close(End::Stopped)
+            }
+            (Stage::Idle, Event::Stop { .. }) if mutant(Mutant::ClosedUnread) => Action::Close(End::Stopped),
             (Stage::Asking, Event::Answered(used)) => self.answered(now, used),
-            (Stage::Pausing { .. }, Event::Rested) => Do::Wait,
+            (Stage::Pausing { .. }, Event::Rested) => Action::Wait,
 
             (Stage::Opening | Stage::Idle, Event::Flawed(_)) => {
-                Do::CutOff { unknown: false, unfinished: false }
+                Action::CutOff { unknown: false, unfinished: false }
             }
-            (Stage::Opening | Stage::Idle, Event::Shed { unread: false }) => Do::Close(End::ClientShed),
-            (Stage::Opening | Stage::Idle, Event::Stop { unread: false }) => Do::Close(End::Stopped),
-            _ => Do::Wait,
+            (Stage::Opening | Stage::Idle, Event::Shed { unread: false }) => Action::Close(End::ClientShed),
+            (Stage::Opening | Stage::Idle, Event::Stop { unread: false }) => Action::Close(End::Stopped),
+            _ => Action::Wait,
         }
     }
 
-    fn message(&mut self, now: Time, kind: Kind) -> Do {
+    fn message(&mut self, now: Time, kind: Kind) -> Action {
         let to_do = match kind {
-            Kind::Terminate => return Do::Close(End::ClientTerminated),
+            Kind::Terminate => return Action::Close(End::ClientTerminated),
             Kind::Sync => {
                 self.skipping = false;
-                Do::Ready
+                Action::Ready
             }
-            _ if self.skipping => return Do::Wait,
-            Kind::Query => return Do::Answer,
+            _ if self.skipping => return Action::Wait,
+            Kind::Query => return Action::Answer,
             Kind::Extended => {
                 self.skipping = true;
-                Do::Unsupported { ready: false }
+                Action::Unsupported { ready: false }
             }
-            Kind::Function => Do::Unsupported { ready: true },
-            Kind::Harmless => return Do::Wait,
-            Kind::Unknown => return Do::CutOff { unknown: true, unfinished: false },
+            Kind::Function => Action::Unsupported { ready: true },
+            Kind::Harmless => return Action::Wait,
+            Kind::Unknown => return Action::CutOff { unknown: true, unfinished: false },
         };
         self.used(now);
         to_do
     }
 
-    fn answered(&mut self, now: Time, used: Used) -> Do {
+    fn answered(&mut self, now: Time, used: Used) -> Action {
         self.trusted |= used == Used::Request;
         self.used(now);
         self.flaws = match used {
@@ -309,8 +315,8 @@
             Used::Nothing => (self.flaws + 1).min(16),
         };
         match self.flaws {
-            0 => Do::Wait,
-            flaws => Do::Pause { until: now + (FIRST_PAUSE << (flaws - 1)).min(LONGEST_PAUSE) },
+            0 => Action::Wait,
+            flaws => Action::Pause { until: now + (FIRST_PAUSE << (flaws - 1)).min(LONGEST_PAUSE) },
         }
     }
 
--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -11,7 +11,7 @@
 use crate::rules::{Full, Rules};
 use petrelgauge_policy::*;
 use petrelgauge_sessions::{
-    BulletinError, Counts, Floor, Keeper, Key, Snapshot, Token, TokenError, Verdict, Wallet,
+    BulletinError, Counts, Floor, Keeper, Key, SessionTokens, Snapshot, Token, TokenError, Verdict,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -31,12 +31,12 @@
     /// Commit that its client says its data must hold.
     pub after: Option<Time>,
     /// Its session, if its class carries sessions.
-    pub session: Option<Visit>,
+    pub session: Option<SessionRef>,
 }
 
 /// A session's request.
 #[derive(Clone, Debug)]
-pub struct Visit {
+pub struct SessionRef {
     /// The session in the request's group.
     pub key: Key,
     /// The token that the client brought.
@@ -363,7 +363,7 @@
     }
 
     /// Puts what a client set into its wallet.
-    pub fn set_tokens(&self, wallet: &mut Wallet, text: &str) -> Result<(), TokenError> {
+    pub fn set_tokens(&self, wallet: &mut SessionTokens, text: &str) -> Result<(), TokenError> {
         let keeper = self.keeper.as_ref().filter(|keeper| keeper.settings().tokens).ok_or(TokenError::Off)?;
         wallet.set(text, keeper.settings().secret)
     }
@@ -375,7 +375,7 @@
         group: GroupId,
         name: &str,
         tokens: &[&str],
-    ) -> Result<Option<Visit>, TokenError> {
+    ) -> Result<Option<SessionRef>, TokenError> {
         let Some(keeper) = &self.keeper else { return Ok(None) };
         let key = keeper.key(group, name);
         let mut token: Option<Token> = None;
@@ -383,7 +383,7 @@
             let read = keeper.take_token(at, text, key)?;
             token = Some(token.map_or(read, |known| known.join(read)));
         }
-        Ok(Some(Visit { key, token }))
+        Ok(Some(SessionRef { key, token }))
     }
 
     /// The token that goes with an answer to this session, where clients carry tokens.
@@ -433,7 +433,7 @@
         self.look(request.at);
         let write = self.rules.class(request.class).need == Need::Write;
         let watch = match (&mut self.keeper, request.session) {
-            (Some(keeper), Some(Visit { key, token })) => {
+            (Some(keeper), Some(SessionRef { key, token })) => {
                 let floor = (!write).then(|| keeper.ask(request.at, key, token.as_ref()));
                 // Of a write that is out nobody knows here whether it was committed and answered.
                 let may_be_known = request.at - DEEMED;
--- a/crates/lifecycle/src/gateway.rs
+++ b/crates/lifecycle/src/gateway.rs
@@ -9,7 +9,7 @@
 //!    +-------Stop-------+--> LastClients --Due--------> Closing --Held(0, 0)--> Ended
 //! ```
 //!
-//! What the front does at a time is its [`Door`], which follows from the stage alone. A drained gateway keeps its
+//! What the front does at a time is its [`ServingState`], which follows from the stage alone. A drained gateway keeps its
 //! process, its list and what it has learned, and accepts whoever still comes: it only wants nobody to.
 //!
 //! After SIGTERM clients are accepted for a while: the front learns of it only then. Idle ones are closed after that,
@@ -55,28 +55,28 @@
 
 /// What the front does with clients.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub enum Door {
+pub enum ServingState {
     /// All are welcome.
     #[default]
-    Open,
+    Serving,
     /// The empty query is answered with no, all else as before.
-    Turning,
+    Unready,
     /// The same, and clients are closed as soon as nothing is owed to them.
-    Empty,
+    Draining,
     /// Nobody new is accepted either.
-    Shut,
+    Stopped,
 }
 
-impl Door {
+impl ServingState {
     /// The empty query is answered so that the front goes on sending clients.
     pub fn admits(self) -> bool {
         // A stop is announced by the platform itself.
-        matches!(self, Door::Open | Door::Shut)
+        matches!(self, ServingState::Serving | ServingState::Stopped)
     }
 
     /// Clients to whom nothing is owed are closed.
     pub fn empties(self) -> bool {
-        matches!(self, Door::Empty | Door::Shut)
+        matches!(self, ServingState::Draining | ServingState::Stopped)
     }
 }
 
@@ -107,7 +107,7 @@
 
 /// What is to be done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Do {
+pub enum Action {
     /// Go on.
     Wait,
     /// Follow what the new file says.
@@ -193,12 +193,12 @@
     }
 
     /// What the front is to do now.
-    pub fn door(&self) -> Door {
+    pub fn door(&self) -> ServingState {
         match self.stage {
-            Stage::Serving | Stage::LastClients { .. } => Door::Open,
-            Stage::Turning { .. } => Door::Turning,
-            Stage::Empty => Door::Empty,
-            Stage::Closing | Stage::Ended => Door::Shut,
+            Stage::Serving | Stage::LastClients { .. } => ServingState::Serving,
+            Stage::Turning { .. } => ServingState::Unready,
+            Stage::Empty => ServingState::Draining,
+            Stage::Closing | Stage::Ended => ServingState::Stopped,
         }
     }
 
@@ -211,7 +211,7 @@
     }
 
     /// Something happened.
-    pub fn on(&mut self, now: Time, event: Event) -> Do {
+    pub fn on(&mut self, now: Time, event: Event) -> Action {
         if event == Event::Stop {
             self.stopped_at.get_or_insert(now);
         }
@@ -219,44 +219,44 @@
             // Nobody comes any more, or whoever does is accepted by the next process.
             (stage, Event::Stop) if stage == Stage::Empty || (self.shared && self.at_work()) => {
                 self.stage = Stage::Closing;
-                Do::Doors
+                Action::Doors
             }
             (Stage::Serving | Stage::Turning { .. }, Event::Stop) => {
                 self.stage = Stage::LastClients { until: now + LAST_CLIENTS };
-                Do::Doors
+                Action::Doors
             }
             (Stage::Serving, Event::Drain) => {
                 self.stage = Stage::Turning { until: now + LAST_CLIENTS };
-                Do::Doors
+                Action::Doors
             }
             (Stage::Turning { .. } | Stage::Empty, Event::Resume) => {
                 self.stage = if mutant(Mutant::StaysDrained) { self.stage } else { Stage::Serving };
-                Do::Doors
+                Action::Doors
             }
             (Stage::Turning { until }, Event::Due) if now >= until => {
                 self.stage = Stage::Empty;
-                Do::Doors
+                Action::Doors
             }
             (Stage::Serving | Stage::Turning { .. } | Stage::Empty, Event::Reload { usable }) => {
                 if usable {
-                    Do::Take
+                    Action::Take
                 } else {
-                    Do::Keep
+                    Action::Keep
                 }
             }
             (Stage::LastClients { until }, Event::Due) if now >= until => {
                 self.stage = Stage::Closing;
-                Do::Doors
+                Action::Doors
             }
             (Stage::Closing, Event::Held { clients, attempts })
                 if (clients, attempts) == (0, 0) || mutant(Mutant::EndsWhileHeld) =>
             {
                 self.stage = Stage::Ended;
-                Do::End
+                Action::End
             }
             // A second SIGTERM hurries nothing, a stopping gateway has no use for a new file, and neither drains nor
             // comes back.
-            _ => Do::Wait,
+            _ => Action::Wait,
         }
     }
 }
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -6,7 +6,7 @@
 //! | `desk.rs` | requests and attempts before the decision module | open, ended; out, reported |
 //! | `read_ahead.rs` | what is read of a client ahead of the query that is being answered | reading, paused |
 //! | `client.rs` | a client's connection | opening, idle, asking, pausing, cut off, ended |
-//! | `asked.rs` | a client's request at the front | waiting, out, ended |
+//! | `request.rs` | a client's request at the front | waiting, out, ended |
 //! | `exchange.rs` | an attempt on a connection | connecting, greeting, writing, waiting, answering, ended |
 //! | `rules.rs` | the classes, while settings change under open requests | |
 //! | `rest.rs` | a connection between requests | resting, in use, ended |
@@ -37,7 +37,6 @@
 //! assert_eq!((away, told.end), (Away::Close, End::NoAnswer));
 //! ```
 
-pub mod asked;
 pub mod backoff;
 pub mod client;
 pub mod desk;
@@ -47,6 +46,7 @@
 pub mod ops;
 pub mod patience;
 pub mod read_ahead;
+pub mod request;
 pub mod rest;
 pub mod rules;
 pub mod verdict;
--- a/crates/lifecycle/src/ops.rs
+++ b/crates/lifecycle/src/ops.rs
@@ -3,7 +3,7 @@
 //! One line to a connection, one line back: `YES` or `NO` and a short reason. A call changes the gateway's life through
 //! [`Event`] alone; the same call twice is no mistake and is answered as if it had been said once.
 
-use crate::gateway::{Do, Event, Gateway, Stage};
+use crate::gateway::{Action, Event, Gateway, Stage};
 use petrelgauge_policy::Time;
 use std::fmt;
 
@@ -92,10 +92,10 @@
 }
 
 /// Carries a call out on the gateway's life: what is answered, and what is to be done.
-pub fn call(life: &mut Gateway, now: Time, call: Call, known: Known) -> (Reply, Do) {
+pub fn call(life: &mut Gateway, now: Time, call: Call, known: Known) -> (Reply, Action) {
     let before = life.stage();
     let to_do = match call {
-        Call::Ready => Do::Wait,
+        Call::Ready => Action::Wait,
         Call::Drain => life.on(now, Event::Drain),
         Call::Resume => life.on(now, Event::Resume),
     };
@@ -130,7 +130,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::gateway::{Door, LAST_CLIENTS};
+    use crate::gateway::{ServingState, LAST_CLIENTS};
 
     const KNOWN: Known = Known { hosts: 3, told: true, patience_until: 0, version: 1 };
 
@@ -154,15 +154,15 @@
         let mut life = Gateway::default();
         assert!(say(&mut life, 0, Call::Resume), "at work already");
         assert!(say(&mut life, 0, Call::Drain) && !say(&mut life, 1, Call::Ready));
-        assert_eq!((life.door(), life.due()), (Door::Turning, Some(LAST_CLIENTS)));
+        assert_eq!((life.door(), life.due()), (ServingState::Unready, Some(LAST_CLIENTS)));
         // The second call does not put off the first one's end.
         assert!(say(&mut life, LAST_CLIENTS / 2, Call::Drain));
         assert_eq!(life.due(), Some(LAST_CLIENTS));
-        assert_eq!(life.on(LAST_CLIENTS, Event::Due), Do::Doors);
-        assert_eq!((life.door(), life.due()), (Door::Empty, None));
+        assert_eq!(life.on(LAST_CLIENTS, Event::Due), Action::Doors);
+        assert_eq!((life.door(), life.due()), (ServingState::Draining, None));
         assert!(say(&mut life, LAST_CLIENTS, Call::Drain) && !say(&mut life, LAST_CLIENTS, Call::Ready));
         assert!(say(&mut life, 9_000_000, Call::Resume) && say(&mut life, 9_000_000, Call::Ready));
-        assert_eq!(life.door(), Door::Open);
+        assert_eq!(life.door(), ServingState::Serving);
     }
 
     #[test]
@@ -191,8 +191,8 @@
     fn a_reload_is_taken_while_drained() {
         let mut life = Gateway::default();
         life.on(0, Event::Drain);
-        assert_eq!(life.on(0, Event::Reload { usable: true }), Do::Take);
-        assert_eq!(life.on(0, Event::Reload { usable: false }), Do::Keep);
-        assert_eq!(life.door(), Door::Turning);
+        assert_eq!(life.on(0, Event::Reload { usable: true }), Action::Take);
+        assert_eq!(life.on(0, Event::Reload { usable: false }), Action::Keep);
+        assert_eq!(life.door(), ServingState::Unready);
     }
 }
--- a/crates/lifecycle/src/asked.rs
+++ b/crates/lifecycle/src/request.rs
@@ -1,7 +1,7 @@
 //! The life of a client's request at the front: one answer, and which one where several are due at a time.
 //!
 //! An answer that a host gave goes before what the decisions say, and both go before the client's leaving: the front
-//! asks [`Asked`] for each thing that happened, in whatever order it learned of them.
+//! asks [`RequestState`] for each thing that happened, in whatever order it learned of them.
 
 use petrelgauge_policy::Time;
 
@@ -22,13 +22,15 @@
     },
     /// The decisions give it up.
     Failed,
+    /// The client cancelled it.
+    Cancelled,
     /// The client left.
     Left,
 }
 
 /// How it ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Final {
+pub enum FinalAnswer {
     /// The answer that a host gave.
     Given,
     /// Refused.
@@ -38,25 +40,27 @@
     },
     /// Failed.
     Failed,
+    /// Its client cancelled it, and is told so.
+    Cancelled,
     /// Nobody waits for an answer.
     Withdrawn,
 }
 
 /// A request that has no answer yet, or has just got it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Asked {
+pub struct RequestState {
     out: bool,
-    ended: Option<Final>,
+    ended: Option<FinalAnswer>,
 }
 
-impl Asked {
+impl RequestState {
     /// An attempt is being made.
     pub fn out(&self) -> bool {
         self.out
     }
 
     /// Something happened. Gives the request's end when that is it; nothing changes it afterwards.
-    pub fn on(&mut self, event: Event) -> Option<Final> {
+    pub fn on(&mut self, event: Event) -> Option<FinalAnswer> {
         if self.ended.is_some() {
             return None;
         }
@@ -64,11 +68,12 @@
             Event::Ordered => self.out = true,
             Event::Returned { owed } => {
                 self.out = false;
-                self.ended = owed.then_some(Final::Given);
+                self.ended = owed.then_some(FinalAnswer::Given);
             }
-            Event::Refused { wait } => self.ended = Some(Final::Refused { wait }),
-            Event::Failed => self.ended = Some(Final::Failed),
-            Event::Left => self.ended = Some(Final::Withdrawn),
+            Event::Refused { wait } => self.ended = Some(FinalAnswer::Refused { wait }),
+            Event::Failed => self.ended = Some(FinalAnswer::Failed),
+            Event::Cancelled => self.ended = Some(FinalAnswer::Cancelled),
+            Event::Left => self.ended = Some(FinalAnswer::Withdrawn),
         }
         self.ended
     }
--- a/crates/models/src/stop.rs
+++ b/crates/models/src/stop.rs
@@ -3,10 +3,10 @@
 
 use crate::check::{check, Report, World};
 use crate::Size;
-use petrelgauge_lifecycle::asked::{self, Asked, Final};
-use petrelgauge_lifecycle::client::{self, Client, Do, Kind, Stage, Used};
+use petrelgauge_lifecycle::client::{self, Action, Client, Kind, Stage, Used};
 use petrelgauge_lifecycle::ending::End;
 use petrelgauge_lifecycle::gateway::{self, Gateway};
+use petrelgauge_lifecycle::request::{self, FinalAnswer, RequestState};
 use petrelgauge_policy::Time;
 
 const ANSWERED: &str = "what a client sent before its connection was closed is answered";
@@ -55,7 +55,7 @@
 enum At {
     Away,
     Backlog,
-    Open { life: Client, unread: u8, asked: Option<Asked> },
+    Open { life: Client, unread: u8, asked: Option<RequestState> },
     Gone,
 }
 
@@ -82,8 +82,8 @@
         let now = self.now;
         let At::Open { life, unread, asked } = &mut self.clients[place] else { return };
         match life.on(now, event) {
-            Do::Answer => *asked = Some(Asked::default()),
-            Do::Close(end) => {
+            Action::Answer => *asked = Some(RequestState::default()),
+            Action::Close(end) => {
                 if end != End::ClientLeft && (*unread > 0 || asked.is_some()) {
                     self.broken = Some(ANSWERED);
                 }
@@ -93,17 +93,17 @@
         }
     }
 
-    fn ends(&mut self, place: usize, event: asked::Event) {
+    fn ends(&mut self, place: usize, event: request::Event) {
         let At::Open { asked, .. } = &mut self.clients[place] else { return };
         let Some(one) = asked else { return };
-        let _ = one.on(asked::Event::Ordered);
+        let _ = one.on(request::Event::Ordered);
         let ended = one.on(event);
-        if one.on(asked::Event::Failed).is_some() {
+        if one.on(request::Event::Failed).is_some() {
             self.broken = Some(ONCE);
         }
         *asked = None;
         match ended {
-            Some(Final::Withdrawn) => self.tell(place, client::Event::Left(End::ClientLeft)),
+            Some(FinalAnswer::Withdrawn) => self.tell(place, client::Event::Left(End::ClientLeft)),
             _ => self.tell(place, client::Event::Answered(Used::Request)),
         }
     }
@@ -123,7 +123,9 @@
         for (place, at) in self.clients.iter().enumerate() {
             match at {
                 // The front deals out no connection once it has learned of the stop.
-                At::Away if self.gateway.door() != gateway::Door::Shut => moves.push(Move::Connects(place)),
+                At::Away if self.gateway.door() != gateway::ServingState::Stopped => {
+                    moves.push(Move::Connects(place))
+                }
                 At::Away | At::Gone => {}
                 At::Backlog => moves.push(Move::Accepted(place)),
                 At::Open { life, unread, asked } => {
@@ -186,12 +188,12 @@
                 }
                 self.tell(place, client::Event::Message(Kind::Query));
             }
-            Move::Served(place) => self.ends(place, asked::Event::Returned { owed: true }),
-            Move::Refused(place) => self.ends(place, asked::Event::Refused { wait: 0 }),
+            Move::Served(place) => self.ends(place, request::Event::Returned { owed: true }),
+            Move::Refused(place) => self.ends(place, request::Event::Refused { wait: 0 }),
             Move::Leaves(place) => {
                 let asking = matches!(self.clients[place], At::Open { asked: Some(_), .. });
                 match asking {
-                    true => self.ends(place, asked::Event::Left),
+                    true => self.ends(place, request::Event::Left),
                     false => self.tell(place, client::Event::Left(End::ClientLeft)),
                 }
             }
@@ -220,7 +222,7 @@
             Move::Reload(usable) => {
                 self.reloads -= 1;
                 let before = self.discovery;
-                if self.gateway.on(now, gateway::Event::Reload { usable }) == gateway::Do::Take {
+                if self.gateway.on(now, gateway::Event::Reload { usable }) == gateway::Action::Take {
                     self.discovery += 1;
                 }
                 if !usable && self.discovery != before {
@@ -234,7 +236,7 @@
             Move::Looks => {
                 let (clients, attempts) = self.held();
                 let ended = self.gateway.on(now, gateway::Event::Held { clients, attempts });
-                if ended == gateway::Do::End && (clients, attempts) != (0, 0) {
+                if ended == gateway::Action::End && (clients, attempts) != (0, 0) {
                     self.broken = Some(HELD);
                 }
                 // The look comes again and again: a run that only looks would never be over.
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -12,7 +12,7 @@
 //! | `mark.rs` | a session's mark and its merge, which never lowers |
 //! | `keeper.rs` | what a read needs, what an answer proves |
 //! | `memory.rs`, `sketch.rs` | marks of recent sessions exactly, of the others as a bound |
-//! | `token.rs`, `wallet.rs` | the client's copy of a mark, and those set for a connection |
+//! | `token.rs`, `session_tokens.rs` | the client's copy of a mark, and those set for a connection |
 //! | `bulletin.rs`, `outbox.rs`, `coverage.rs` | what instances tell each other, and where gaps are |
 //! | `snapshot.rs` | what survives a restart |
 //! | `settings.rs` | what an operator sets |
@@ -56,11 +56,11 @@
 mod mark;
 mod memory;
 mod outbox;
+mod session_tokens;
 mod settings;
 mod sketch;
 mod snapshot;
 mod token;
-mod wallet;
 
 pub use bulletin::{Bulletin, BulletinError, MOST_BYTES, MOST_LINES};
 pub use coverage::Coverage;
@@ -68,8 +68,8 @@
 pub use mark::{Key, Mark, NAME_BITS};
 pub use memory::{Entry, Memory};
 pub use outbox::Outbox;
+pub use session_tokens::{SessionTokens, MOST_SET};
 pub use settings::{Promise, Settings, SettingsError, Told, MOST_CLOCK_ERROR, MOST_EXACT, MOST_INSTANCES};
 pub use sketch::{false_share, Sketch, ROWS};
 pub use snapshot::Snapshot;
 pub use token::{Token, TokenError, FRESH};
-pub use wallet::{Wallet, MOST_SET};
--- a/crates/sessions/src/wallet.rs
+++ b/crates/sessions/src/session_tokens.rs
@@ -8,11 +8,11 @@
 
 /// Tokens by group, as they were set.
 #[derive(Clone, Debug, Default)]
-pub struct Wallet {
+pub struct SessionTokens {
     tokens: Vec<(GroupId, String)>,
 }
 
-impl Wallet {
+impl SessionTokens {
     /// Takes what a client set: tokens parted by `+`. They take the place of all that were set for the groups they
     /// name. One that cannot be used changes nothing.
     pub fn set(&mut self, text: &str, secret: u64) -> Result<(), TokenError> {
--- a/crates/sessions/tests/laws.rs
+++ b/crates/sessions/tests/laws.rs
@@ -210,8 +210,8 @@
         Token { key: Key { group, name: 1 }, mark: Mark { wrote, read: 0 }, issued: MS }.write(9)
     };
     let (one, two, other) = (text(2, MS), text(2, 2 * MS), text(3, MS));
-    let held = |wallet: &Wallet, group| wallet.of(group).map(str::to_string).collect::<Vec<_>>();
-    let mut wallet = Wallet::default();
+    let held = |wallet: &SessionTokens, group| wallet.of(group).map(str::to_string).collect::<Vec<_>>();
+    let mut wallet = SessionTokens::default();
     assert_eq!(wallet.set(&format!("{one}+{two}+{other}"), 9), Ok(()));
     assert_eq!(held(&wallet, 2), [one.clone(), two.clone()]);
     assert_eq!(wallet.set(&two, 9), Ok(()));
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -7,9 +7,9 @@
 //! Whoever owns the facade calls [`Facade::tick`] at the time it names, or when [`Facade::woken`] returns.
 
 use petrelgauge_lifecycle::desk::{Desk, Order, Send};
-pub use petrelgauge_lifecycle::desk::{NotTaken, Outcome, Request, Visit};
+pub use petrelgauge_lifecycle::desk::{NotTaken, Outcome, Request, SessionRef};
 use petrelgauge_policy::*;
-use petrelgauge_sessions::{BulletinError, Counts, Keeper, Key, Snapshot, TokenError, Wallet};
+use petrelgauge_sessions::{BulletinError, Counts, Keeper, Key, SessionTokens, Snapshot, TokenError};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -157,7 +157,7 @@
     }
 
     /// Puts what a client set into its wallet.
-    pub fn set_tokens(&self, wallet: &mut Wallet, text: &str) -> Result<(), TokenError> {
+    pub fn set_tokens(&self, wallet: &mut SessionTokens, text: &str) -> Result<(), TokenError> {
         self.0.desk.borrow().set_tokens(wallet, text)
     }
 
@@ -168,7 +168,7 @@
         group: GroupId,
         name: &str,
         tokens: &[&str],
-    ) -> Result<Option<Visit>, TokenError> {
+    ) -> Result<Option<SessionRef>, TokenError> {
         self.0.desk.borrow().visit(at, group, name, tokens)
     }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 
 use petrelgauge::facade::Facade;
 use petrelgauge::net::budget::Budget;
+use petrelgauge::net::cancel::CancelKeys;
 use petrelgauge::net::clock::Clock;
 use petrelgauge::net::config::Config;
 use petrelgauge::net::counters::{Counters, Gauge};
@@ -14,13 +15,13 @@
 use petrelgauge::net::inherited;
 use petrelgauge::net::ops::Ops;
 use petrelgauge::net::peers::Peers;
-use petrelgauge::net::room::Room;
+use petrelgauge::net::read_buffer::ReadBuffer;
 use petrelgauge::net::share_out::{ShareOut, SHARES};
 use petrelgauge::net::signals::{Signals, Told};
 use petrelgauge::{Class, Need, Settings, Time};
 use petrelgauge_handover::company::Held;
 use petrelgauge_lifecycle::backoff::Backoff;
-use petrelgauge_lifecycle::gateway::{Do, Door, Event, Gateway, Stage};
+use petrelgauge_lifecycle::gateway::{Action, Event, Gateway, ServingState, Stage};
 use petrelgauge_lifecycle::ops::{self, Known, MOST_CALLERS};
 use petrelgauge_ownership::Office;
 use petrelgauge_sessions::{Keeper, SettingsError};
@@ -96,9 +97,9 @@
     });
     let counters = Rc::new(Counters::default());
     let budget = Budget::new(config.sockets, config.memory);
-    let room = Room::new();
+    let read_buffer = ReadBuffer::new();
     let (connect, idle) = (config.info.connect_span(), config.info.idle_span());
-    let hosts = Hosts::new(clock, budget.clone(), counters.clone(), room.clone(), connect, idle);
+    let hosts = Hosts::new(clock, budget.clone(), counters.clone(), read_buffer.clone(), connect, idle);
     let backoff = Backoff::new(gateways, config.seed.rotate_left(32));
     let follower = Follower::new(
         facade.clone(),
@@ -113,7 +114,7 @@
     let heard = told.clone();
     let patience_until = clock.now() + LIST_PATIENCE;
     let mut reread: Result<Config, String> = Err(String::new());
-    let (doors, door) = watch::channel(Door::Open);
+    let (doors, door) = watch::channel(ServingState::Serving);
     let listener = inherited.map_or_else(|| listen(config.listen), TcpListener::from_std);
     let listener = listener.map_err(|cause| format!("cannot listen: {cause}"))?;
     let (desk, mut asked) = mpsc::channel(MOST_CALLERS);
@@ -156,9 +157,10 @@
         clock,
         budget,
         counters: counters.clone(),
-        room,
+        read_buffer,
         door,
         open: Gauge::default(),
+        cancel_keys: CancelKeys::new(config.seed.rotate_left(16)),
         ids: RefCell::default(),
         last: Cell::new(Time::MAX),
         last_reads: Cell::default(),
@@ -192,7 +194,7 @@
             Some((call, answer)) = asked.recv() => {
                 let known = Known { hosts: hosts.named(), told: told.get(), patience_until, version: facade.version() };
                 let (reply, to_do) = ops::call(&mut life, clock.now(), call, known);
-                if to_do == Do::Doors {
+                if to_do == Action::Doors {
                     log::info!("{call:?}: {}", reply.reason);
                 }
                 // A caller that has left needs no answer.
@@ -209,7 +211,7 @@
             }
         };
         match life.on(clock.now(), event) {
-            Do::Doors if event == Event::Stop => {
+            Action::Doors if event == Event::Stop => {
                 log::info!("stopping");
                 let longest = facade.longest(clock.now());
                 front.last.set(life.answers_by(longest));
@@ -217,8 +219,8 @@
                 facade.answer_by(front.last.get());
                 leaving.iter().for_each(|duties| duties.leave());
             }
-            Do::Doors | Do::Wait => {}
-            Do::Take | Do::Keep => {
+            Action::Doors | Action::Wait => {}
+            Action::Take | Action::Keep => {
                 let new = std::mem::replace(&mut reread, Err(String::new()));
                 match new.and_then(|new| reload(new, &config, hold, clock.now(), &facade, &hosts)) {
                     Ok((new, open)) => {
@@ -239,7 +241,7 @@
                     }
                 }
             }
-            Do::End => break,
+            Action::End => break,
         }
     }
     handover.into_iter().for_each(|handover| handover.withdraw());
--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -6,7 +6,7 @@
 use crate::net::hosts::Hosts;
 use crate::net::link::Connection;
 use crate::net::pg::{Answer, Gather, Reply};
-use crate::net::room;
+use crate::net::read_buffer;
 use crate::net::statement::Statement;
 use crate::{settings, MemberId, Report, Role, Time};
 use bytes::Buf;
@@ -22,7 +22,11 @@
 
 impl Hosts {
     /// Makes one attempt and reports it. Gives what the host said if it is the request's final answer.
-    pub async fn attempt(self: Rc<Self>, mut attempt: Attempt, statement: Rc<Statement>) -> Option<Given> {
+    pub async fn attempt(
+        self: Rc<Self>,
+        mut attempt: Attempt,
+        statement: Rc<Statement>,
+    ) -> Option<HostAnswer> {
         self.counters.attempts.add();
         let _out = self.out.enter();
         let (host, until) = (attempt.host, attempt.until);
@@ -102,10 +106,10 @@
         };
         let owed = attempt.report(now, outcome);
         let answer = match (reply, flow) {
-            (Some(reply), _) => Some(GivenAnswer::Whole(reply.answer)),
-            (None, flow) => flow.map(|flow| GivenAnswer::Flow(Box::new(flow))),
+            (Some(reply), _) => Some(AnswerBody::Whole(reply.answer)),
+            (None, flow) => flow.map(|flow| AnswerBody::Flow(Box::new(flow))),
         };
-        answer.map(|answer| Given { answer, _hold: hold }).filter(|_| owed)
+        answer.map(|answer| HostAnswer { answer, _hold: hold }).filter(|_| owed)
     }
 
     /// Does what the stage of an attempt asks for, until something happens. May be cancelled without loss.
@@ -171,7 +175,7 @@
                     _ => return Event::Malformed,
                 }
             }
-            if connection.read(&self.room, room::SIZE).await.is_err() {
+            if connection.read(&self.read_buffer, read_buffer::SIZE).await.is_err() {
                 return Event::Broke;
             }
             if !line.hold.set(connection.framer.len()) {
@@ -212,7 +216,7 @@
             if began {
                 return Event::Began;
             }
-            if connection.read(&self.room, room::SIZE).await.is_err() {
+            if connection.read(&self.read_buffer, read_buffer::SIZE).await.is_err() {
                 line.reply = line.gather.ended();
                 let end = line.reply.as_ref().map(judge);
                 return end.map_or(Event::Broke, |end| Event::Answered { end, copy: false });
@@ -226,14 +230,14 @@
 }
 
 /// What a host said to a request, with its share of the memory.
-pub struct Given {
+pub struct HostAnswer {
     /// What it said.
-    pub answer: GivenAnswer,
+    pub answer: AnswerBody,
     pub(super) _hold: Hold,
 }
 
 /// An answer, or the beginning of one.
-pub enum GivenAnswer {
+pub enum AnswerBody {
     /// A row, or an error that no other host would spare the client.
     Whole(Answer),
     /// A row so long that it is passed on as it comes.
--- /dev/null
+++ b/src/net/cancel.rs
@@ -0,0 +1,68 @@
+//! Cancel requests of the protocol: each client is told a key at its welcome, and whoever brings that key on a connection
+//! of its own ends the query that this client has open.
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// What names a client in a cancel request (the protocol's BackendKeyData).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CancelKey {
+    /// The connection's number.
+    pub process: u32,
+    /// Known to its client alone.
+    pub secret: u32,
+}
+
+/// The keys of all open clients: one entry for each, so that descriptors bound it.
+pub struct CancelKeys {
+    open: RefCell<BTreeMap<u32, (u32, Rc<Notify>)>>,
+    secrets: RefCell<Pcg64Mcg>,
+}
+
+impl CancelKeys {
+    /// No client yet. The seed is the only source of secrets.
+    pub fn new(seed: u64) -> Rc<CancelKeys> {
+        Rc::new(CancelKeys { open: RefCell::default(), secrets: RefCell::new(Pcg64Mcg::seed_from_u64(seed)) })
+    }
+
+    /// A key for the client of this number, which holds for as long as the value lives.
+    pub fn register(self: &Rc<Self>, process: u32) -> Registered {
+        let key = CancelKey { process, secret: self.secrets.borrow_mut().next_u32() };
+        let cancelled = Rc::new(Notify::new());
+        self.open.borrow_mut().insert(process, (key.secret, cancelled.clone()));
+        Registered { keys: self.clone(), key, cancelled }
+    }
+
+    /// Ends the open query of the client with this key. Any other key does nothing.
+    pub fn cancel(&self, key: CancelKey) {
+        let open = self.open.borrow();
+        let client = open.get(&key.process).filter(|(secret, _)| *secret == key.secret);
+        // Without a query open nobody waits, and nothing is kept for the next one.
+        client.into_iter().for_each(|(_, cancelled)| cancelled.notify_waiters());
+    }
+}
+
+/// One client's key.
+pub struct Registered {
+    keys: Rc<CancelKeys>,
+    /// The key.
+    pub key: CancelKey,
+    cancelled: Rc<Notify>,
+}
+
+impl Registered {
+    /// Waits until the query that is open now is cancelled.
+    pub async fn cancelled(&self) {
+        self.cancelled.notified().await;
+    }
+}
+
+impl Drop for Registered {
+    fn drop(&mut self) {
+        self.keys.open.borrow_mut().remove(&self.key.process);
+    }
+}
--- a/src/net/client_reader.rs
+++ b/src/net/client_reader.rs
@@ -1,12 +1,13 @@
 //! Reads one client's messages in order, a bounded number of them ahead of the one that is being answered.
 
 use crate::net::budget::Hold;
+use crate::net::cancel::CancelKey;
 use crate::net::clock::Clock;
 use crate::net::counters::Counters;
 use crate::net::ending::End;
 use crate::net::front::Front;
 use crate::net::pg::{self, Framer, Message, Opening};
-use crate::net::room::{self, Room};
+use crate::net::read_buffer::{self, ReadBuffer};
 use crate::Time;
 use bytes::Bytes;
 use petrelgauge_lifecycle::client::{Event, Kind, Stage};
@@ -25,7 +26,7 @@
 pub(super) struct ClientReader<'a> {
     reader: ReadHalf<'a>,
     clock: Clock,
-    room: Rc<Room>,
+    read_buffer: Rc<ReadBuffer>,
     counters: Rc<Counters>,
     hold: Hold,
     pub(super) framer: Framer,
@@ -60,7 +61,7 @@
         ClientReader {
             reader,
             clock: front.clock,
-            room: front.room.clone(),
+            read_buffer: front.read_buffer.clone(),
             counters: front.counters.clone(),
             hold: front.budget.hold(true),
             framer: Framer::default(),
@@ -74,7 +75,7 @@
     fn allowance(&self) -> usize {
         match self.error {
             // Nothing is kept behind an error: it is read only to notice the client leave.
-            Some(_) => room::SIZE,
+            Some(_) => read_buffer::SIZE,
             None => self.ahead.allowance().min(self.hold.free()),
         }
     }
@@ -127,7 +128,7 @@
                 asked = allowance.min(bytes.len());
                 reader.try_read(&mut bytes[..asked])
             };
-            match self.room.read(once, framer.as_deref_mut()) {
+            match self.read_buffer.read(once, framer.as_deref_mut()) {
                 Ok(Some(0)) | Err(_) => return Err(End::ClientLeft),
                 Ok(Some(read)) => break (read, asked),
                 Ok(None) => {}
@@ -220,7 +221,7 @@
             self.opening().await.map(|opened| {
                 opened.map(|opening| match opening {
                     Opening::Encryption => Event::Encryption.into(),
-                    Opening::Cancel => Event::Cancel.into(),
+                    Opening::Cancel(key) => ClientEvent { cancel: Some(key), ..Event::Cancel.into() },
                     Opening::Startup { minor } => ClientEvent { minor, ..Event::Opened.into() },
                 })
             })
@@ -268,11 +269,13 @@
     /// The protocol's minor version that was asked for.
     pub(super) minor: u16,
     pub(super) error: Option<ProtocolError>,
+    /// The key of a cancel request.
+    pub(super) cancel: Option<CancelKey>,
 }
 
 impl From<Event> for ClientEvent {
     fn from(event: Event) -> ClientEvent {
-        ClientEvent { event, query: None, minor: 0, error: None }
+        ClientEvent { event, query: None, minor: 0, error: None, cancel: None }
     }
 }
 
--- /dev/null
+++ b/src/net/client_session.rs
@@ -0,0 +1,205 @@
+//! One client's connection: PostgreSQL's simple queries in, one final answer out for each.
+
+use crate::net::budget::Idleness;
+use crate::net::cancel::Registered;
+use crate::net::client_reader::{ClientEvent, ClientReader, ProtocolError, UNFINISHED, UNKNOWN};
+use crate::net::ending::End;
+use crate::net::front::Front;
+use crate::net::pg::{self, Severity};
+use crate::Time;
+use bytes::Buf;
+use petrelgauge_lifecycle::client::{Action, Client, Event, Stage, Used};
+use petrelgauge_lifecycle::gateway::ServingState;
+use petrelgauge_sessions::SessionTokens;
+use socket2::SockRef;
+use std::rc::Rc;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::WriteHalf;
+use tokio::sync::{watch, Notify};
+
+/// Span after a request's end in which its client must have taken the answer (microseconds).
+const TAKING: Time = 2_000_000;
+/// Span in which a client that is cut off may send to the end and read the reason (microseconds).
+const LINGER: Time = 1_000_000;
+/// While clients are being closed: span after its coming in which a client that has asked for nothing yet is left to
+/// (microseconds), since its first query may be on its way.
+const FIRST_WORD: Time = 500_000;
+/// The same for a message that has begun, from the first wish to close on, and between two looks at it.
+const LAST_MESSAGE: Time = 2_000_000;
+const LOOK: Time = 20_000;
+
+pub(super) struct ClientSession<'a> {
+    pub(super) front: Rc<Front>,
+    pub(super) reader: ClientReader<'a>,
+    pub(super) writer: WriteHalf<'a>,
+    pub(super) shed: Rc<Notify>,
+    pub(super) door: watch::Receiver<ServingState>,
+    /// A wish to close it is put off to this time.
+    pub(super) close_from: Time,
+    /// What cancels its open query.
+    pub(super) cancel_key: Registered,
+    /// Session tokens that it set.
+    pub(super) marks: SessionTokens,
+}
+
+impl ClientSession<'_> {
+    pub(super) async fn run(&mut self) -> End {
+        match self.talk().await {
+            Ok(end) | Err(end) => end,
+        }
+    }
+
+    /// Tells the connection's life what happens and does what it says, until it ends.
+    async fn talk(&mut self) -> Result<End, End> {
+        let clock = self.front.clock;
+        let mut life = Client::new(clock.now());
+        loop {
+            let event = self.hear(&life).await;
+            let mut out = Vec::new();
+            event.cancel.into_iter().for_each(|key| self.front.cancel_keys.cancel(key));
+            let mut action = life.on(clock.now(), event.event);
+            if action == Action::Answer {
+                let (text, at) = event.query.unwrap_or_default();
+                let event = match self.query(text, at).await {
+                    Ok(used) => Event::Answered(used),
+                    // Its time to be answered is over, and so are those behind it.
+                    Err(end) if self.flawed(end) => Event::Answered(Used::Request),
+                    Err(end) => Event::Left(end),
+                };
+                action = life.on(clock.now(), event);
+            }
+            match action {
+                Action::Wait | Action::Answer | Action::Pause { .. } => continue,
+                Action::Close(end) => return Ok(end),
+                Action::CutOff { unfinished: true, .. } => return self.cut_off(UNFINISHED).await,
+                Action::CutOff { .. } => return self.cut_off(event.error.unwrap_or(UNKNOWN)).await,
+                Action::Decline => out.push(b'N'),
+                Action::Welcome => pg::put_welcome(&mut out, event.minor, self.cancel_key.key),
+                Action::Ready => pg::put_ready(&mut out),
+                Action::Unsupported { ready } => {
+                    put_unsupported(&mut out);
+                    if ready {
+                        pg::put_ready(&mut out);
+                    }
+                }
+            }
+            self.write(&out[..], clock.now()).await?;
+        }
+    }
+
+    /// Waits for what happens next. What the client sent goes before every reason to close.
+    async fn hear(&mut self, life: &Client) -> ClientEvent {
+        let (front, shed, mut door) = (self.front.clone(), self.shed.clone(), self.door.clone());
+        let clock = front.clock;
+        if let Stage::Pausing { until } = life.stage() {
+            return tokio::select! {
+                () = clock.sleep_until(until) => Event::Rested.into(),
+                end = self.reader.left() => match self.flawed(end) {
+                    true => Event::Rested.into(),
+                    false => Event::Left(end).into(),
+                },
+            };
+        }
+        let (why, since) = life.idleness();
+        // The process may be killed soon: nothing more is read, and what was read is answered first.
+        let over = clock.now() >= front.last_reads.get().of(why);
+        let done = !self.reader.holds(life.stage()) && !self.reader.is_behind();
+        if door.borrow().empties() && over && done {
+            return Event::Stop { unread: false }.into();
+        }
+        let _idle = front.budget.idle(why, since, &shed);
+        // A client that has just come is about to say something.
+        let close_from = self.close_from.max(if why == Idleness::New { since + FIRST_WORD } else { since });
+        let closed = async {
+            let wished = door.wait_for(|door| door.empties()).await.is_ok();
+            clock.sleep_until(close_from.min(front.last.get())).await;
+            wished
+        };
+        tokio::select! {
+            biased;
+            event = self.reader.hear(life.stage()) => event,
+            () = shed.notified() => {
+                let unread = self.unread(life.stage()).await;
+                if unread {
+                    // It was asked to make room, and still is once that is answered.
+                    shed.notify_one();
+                }
+                Event::Shed { unread }.into()
+            }
+            _ = closed => {
+                let last = front.last.get().min(since + LAST_MESSAGE);
+                let begun = !self.reader.framer.is_empty() && clock.now() < last;
+                let unread = self.unread(life.stage()).await;
+                self.close_from = if begun { clock.now() + LOOK } else { self.close_from };
+                Event::Stop { unread: unread || begun }.into()
+            }
+            () = clock.sleep_until(life.due()) => {
+                let unread = self.unread(life.stage()).await;
+                Event::Due { unread, begun: !self.reader.framer.is_empty() }.into()
+            }
+        }
+    }
+
+    /// Whether something lies there that has not been taken up: a query that was read is lost if its connection ends,
+    /// and one that was not has to be sent again. The kernel is asked itself, for the reactor has not yet event of what
+    /// came a moment ago. After it the reactor knows.
+    async fn unread(&mut self, stage: Stage) -> bool {
+        if self.reader.holds(stage) {
+            return true;
+        }
+        if !self.reader.may_read() {
+            // It waits for memory in the middle of a message.
+            return false;
+        }
+        let mut first = [std::mem::MaybeUninit::uninit()];
+        let unread = matches!(SockRef::from(self.writer.as_ref()).peek(&mut first), Ok(1..));
+        if unread {
+            tokio::task::yield_now().await;
+        }
+        unread
+    }
+
+    /// The last answers of a stop were due.
+    pub(super) fn late(&self) -> bool {
+        self.front.clock.now() >= self.front.last.get()
+    }
+
+    /// The connection is to end so, since what came on it made no sense.
+    fn flawed(&self, end: End) -> bool {
+        self.reader.error.is_some_and(|(error, _)| error.end == end)
+    }
+
+    /// Says why the connection ends, and ends it.
+    async fn cut_off(&mut self, error: ProtocolError) -> Result<End, End> {
+        let mut out = Vec::new();
+        pg::put_error(&mut out, Severity::Fatal, error.code, error.text, None);
+        let clock = self.front.clock;
+        self.reader.fail(error);
+        self.write(&out[..], clock.now()).await?;
+        // Closed with bytes unread, the connection would be reset and the client not see the reason.
+        let _ = self.writer.shutdown().await;
+        let _idle = self.front.budget.idle(Idleness::CutOff, clock.now(), &self.shed);
+        let by = clock.now() + LINGER;
+        tokio::select! {
+            () = self.reader.discard() => {}
+            () = self.shed.notified() => {}
+            () = clock.sleep_until(by) => {}
+        }
+        Ok(error.end)
+    }
+
+    /// Writes all of it, or ends the connection of a client that does not take it.
+    pub(super) async fn write(&mut self, mut bytes: impl Buf, end: Time) -> Result<(), End> {
+        // A request that waited behind others may end long after its time.
+        let by = end.max(self.front.clock.now()) + TAKING;
+        tokio::select! {
+            biased;
+            written = self.writer.write_all_buf(&mut bytes) => written.map_err(|_| End::ClientLeft),
+            () = self.front.clock.sleep_until(by) => Err(End::ClientStuck),
+        }
+    }
+}
+
+fn put_unsupported(out: &mut Vec<u8>) {
+    pg::put_error(out, Severity::Error, "0A000", "only simple queries are served", None);
+}
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -36,6 +36,8 @@
     refused,
     /// Failed.
     failed,
+    /// Requests that their client cancelled.
+    cancelled,
     /// Requests whose client left before the answer.
     left,
     /// Times that reading from a client paused at a bound.
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -7,7 +7,7 @@
 use crate::net::hosts::Hosts;
 use crate::net::link::Connection;
 use crate::net::pg::{Answer, Gather};
-use crate::net::room;
+use crate::net::read_buffer;
 use crate::{MemberId, Time};
 use bytes::{Buf, Bytes};
 use std::rc::Rc;
@@ -68,7 +68,7 @@
             let message = match self.connection.next() {
                 Ok(Some(message)) => message,
                 Ok(None) => {
-                    self.read(room::SIZE).await?;
+                    self.read(read_buffer::SIZE).await?;
                     continue;
                 }
                 Err(_) => return Err(End::HostMalformed),
@@ -94,7 +94,7 @@
         let by = clock.now() + SILENCE;
         tokio::select! {
             biased;
-            read = self.connection.read(&self.hosts.room, most) => read.map_err(|_| End::BrokenSent),
+            read = self.connection.read(&self.hosts.read_buffer, most) => read.map_err(|_| End::BrokenSent),
             () = clock.sleep_until(by) => Err(End::HostStalled),
         }
     }
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -5,7 +5,7 @@
 use crate::net::counters::{Counters, Gauge};
 use crate::net::link::Connection;
 use crate::net::pg::{self, Framer};
-use crate::net::room::Room;
+use crate::net::read_buffer::ReadBuffer;
 use crate::{MemberId, Time};
 use petrelgauge_lifecycle::ending::End;
 use petrelgauge_lifecycle::exchange::Event;
@@ -49,7 +49,7 @@
     pub(super) clock: Clock,
     pub(super) budget: Rc<Budget>,
     pub(super) counters: Rc<Counters>,
-    pub(super) room: Rc<Room>,
+    pub(super) read_buffer: Rc<ReadBuffer>,
     patience: Cell<Patience>,
     keep: Cell<Keep>,
     pub(super) out: Gauge,
@@ -62,7 +62,7 @@
         clock: Clock,
         budget: Rc<Budget>,
         counters: Rc<Counters>,
-        room: Rc<Room>,
+        read_buffer: Rc<ReadBuffer>,
         connect_span: Time,
         idle_span: Time,
     ) -> Rc<Hosts> {
@@ -71,7 +71,7 @@
             clock,
             budget,
             counters,
-            room,
+            read_buffer,
             patience: Cell::new(Patience::new(connect_span)),
             keep: Cell::new(Keep::for_hosts(idle_span)),
             out: Gauge::default(),
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -3,7 +3,7 @@
 use crate::net::budget::Slot;
 use crate::net::hosts::Site;
 use crate::net::pg::{self, Framer, Message};
-use crate::net::room::Room;
+use crate::net::read_buffer::ReadBuffer;
 use crate::Time;
 use petrelgauge_lifecycle::exchange::Event;
 use petrelgauge_lifecycle::rest::{Look, Resting};
@@ -37,7 +37,7 @@
     }
 
     /// Reads once, so many bytes at most. The framer bounds what is kept: no message is longer than `pg::MOST`.
-    pub(super) async fn read(&mut self, room: &Room, most: usize) -> Result<(), Event> {
+    pub(super) async fn read(&mut self, room: &ReadBuffer, most: usize) -> Result<(), Event> {
         loop {
             self.stream.readable().await.map_err(|_| Event::Broke)?;
             let stream = &self.stream;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,12 +3,15 @@
 
 pub mod attempt;
 pub mod budget;
+pub mod cancel;
 pub mod clock;
 pub mod config;
 pub mod counters;
 pub mod discovery;
 pub use petrelgauge_lifecycle::ending;
 mod client_reader;
+mod client_request;
+mod client_session;
 pub mod duties;
 pub mod flow;
 pub mod front;
@@ -20,7 +23,7 @@
 pub mod ops;
 pub mod peers;
 pub mod pg;
-pub mod room;
+pub mod read_buffer;
 pub mod set;
 pub mod share_out;
 pub mod signals;
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -1,6 +1,7 @@
 //! Version 3 of PostgreSQL's wire protocol, for both sides of the gateway: framing, the messages it writes,
 //! and reading what a database host answers.
 
+use crate::net::cancel::CancelKey;
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Longest message taken from either side. A value has 64 KiB at most and twice that as hexadecimal digits.
@@ -60,8 +61,8 @@
 pub enum Opening {
     /// A wish for encryption, SSL's or GSS's.
     Encryption,
-    /// A cancel request.
-    Cancel,
+    /// A cancel request, with the key that it brings.
+    Cancel(CancelKey),
     /// The startup message, with the protocol's minor version.
     Startup {
         /// Minor version asked for.
@@ -119,7 +120,11 @@
         packet.advance(4);
         match (packet.get_u16(), packet.get_u16()) {
             (1234, 5679 | 5680) => Ok(Some(Opening::Encryption)),
-            (1234, 5678) => Ok(Some(Opening::Cancel)),
+            (1234, 5678) if packet.len() == 8 => {
+                let (process, secret) = (packet.get_u32(), packet.get_u32());
+                Ok(Some(Opening::Cancel(CancelKey { process, secret })))
+            }
+            (1234, 5678) => Err(Malformed("invalid length of cancel request")),
             (3, _) if packet.last() != Some(&0) => Err(Malformed("invalid startup packet layout")),
             (3, minor) => Ok(Some(Opening::Startup { minor })),
             _ => Err(Malformed("unsupported frontend protocol")),
@@ -196,7 +201,7 @@
 }
 
 /// The answer to a startup message: admitted, ready.
-pub fn put_welcome(out: &mut Vec<u8>, minor: u16, number: u32) {
+pub fn put_welcome(out: &mut Vec<u8>, minor: u16, key: CancelKey) {
     if minor > 0 {
         put(out, b'v', |body| body.extend_from_slice(&[0; 8]));
     }
@@ -210,8 +215,8 @@
         });
     }
     put(out, b'K', |body| {
-        body.extend_from_slice(&number.to_be_bytes());
-        body.extend_from_slice(&[0; 4]);
+        body.extend_from_slice(&key.process.to_be_bytes());
+        body.extend_from_slice(&key.secret.to_be_bytes());
     });
     put_ready(out);
 }
--- a/src/net/room.rs
+++ b/src/net/read_buffer.rs
@@ -10,12 +10,12 @@
 pub const SIZE: usize = 64 * 1024;
 
 /// The room.
-pub struct Room(RefCell<Box<[u8]>>);
+pub struct ReadBuffer(RefCell<Box<[u8]>>);
 
-impl Room {
+impl ReadBuffer {
     /// A room, to be shared.
-    pub fn new() -> Rc<Room> {
-        Rc::new(Room(RefCell::new(vec![0; SIZE].into())))
+    pub fn new() -> Rc<ReadBuffer> {
+        Rc::new(ReadBuffer(RefCell::new(vec![0; SIZE].into())))
     }
 
     /// Reads once, without waiting, and feeds the framer if there is one. Says how much came; nothing if it
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -157,3 +157,41 @@
         assert!(host.next_query().contains("'second'"), "{how:?}");
     }
 }
+
+/// A cancel request with this key.
+fn cancel_request(process: u32, secret: u32) -> Vec<u8> {
+    [16, 80_877_102, process, secret].iter().flat_map(|number| number.to_be_bytes()).collect()
+}
+
+#[test]
+fn a_request_that_its_client_cancels_is_not_sent_and_no_other_key_cancels_it() {
+    let stage = Stage::new(234);
+    let host = stage.slow_host(0, vec![Say::Row(b"second")]);
+    let stage = stage.list(&[(&host, "up", "primary")]);
+    let config = config(&stage, true);
+    let gateway = stage.start_as(&config);
+    let mut client = gateway.raw_client();
+    client.write(&startup());
+    let welcome = client.until_ready();
+    let (_, key) = welcome.iter().find(|(kind, _)| *kind == b'K').expect("a key");
+    let number = |from: usize| u32::from_be_bytes([key[from], key[from + 1], key[from + 2], key[from + 3]]);
+    let (process, secret) = (number(0), number(4));
+    client.write(&named("first", "9b1f"));
+    host.next_connection();
+    for (process, secret) in [(process, secret ^ 1), (process ^ 1, secret), (process, secret)] {
+        let mut other = gateway.raw_client();
+        other.write(&cancel_request(process, secret));
+        assert_eq!(other.until_end(), b"");
+    }
+    let answer = client.until_ready();
+    assert_eq!((kinds(&answer).as_str(), field(&answer[0].1, b'C').as_str()), ("EZ", "57014"));
+    gateway.wait_for_counter("cancelled=1 ");
+    host.go();
+    // The connection stays, and the next query is served.
+    client.write(&named("second", "9b20"));
+    host.next_connection();
+    host.go();
+    assert_eq!(kinds(&client.until_ready()), "TDCZ");
+    assert!(host.next_query().contains("'second'"));
+    assert_eq!(host.queries(), 1);
+}
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -6,7 +6,7 @@
 mod stage;
 
 use common::{entry, settings, G, MS, START};
-use petrelgauge::facade::{Attempt, Decision, Facade, Outcome, Request, Ticket, Visit};
+use petrelgauge::facade::{Attempt, Decision, Facade, Outcome, Request, SessionRef, Ticket};
 use petrelgauge::operator::Operator;
 use petrelgauge::*;
 use petrelgauge_sessions::{Bulletin, Keeper, Mark, Token};
@@ -52,7 +52,7 @@
         self.facade.tick(self.now);
     }
 
-    fn visit(&self, tokens: &[&str]) -> Visit {
+    fn visit(&self, tokens: &[&str]) -> SessionRef {
         self.facade.visit(self.now, G, "one", tokens).expect("sound tokens").expect("sessions are kept")
     }
 
--- a/tests/stage/source.rs
+++ b/tests/stage/source.rs
@@ -2,7 +2,7 @@
 
 use super::NEVER;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -33,6 +33,7 @@
 
 /// The discovery. A connection that has no script gets no answer.
 pub struct WatchScripts {
+    address: SocketAddr,
     asked: Receiver<String>,
     go: Sender<()>,
 }
@@ -40,6 +41,7 @@
 impl WatchScripts {
     /// Serves connections side by side, each by the next script. At its end a connection is closed.
     pub fn play(listener: TcpListener, scripts: Vec<Vec<Act>>) -> WatchScripts {
+        let address = listener.local_addr().expect("an address");
         let ((ask, asked), (go, gone)) = (channel(), channel());
         let gone = Arc::new(Mutex::new(gone));
         thread::spawn(move || {
@@ -50,7 +52,12 @@
                 thread::spawn(move || serve(stream.expect("a connection"), script, &ask, &gone));
             }
         });
-        WatchScripts { asked, go }
+        WatchScripts { address, asked, go }
+    }
+
+    /// Where it answers.
+    pub fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// The first line of the next question.
--- /dev/null
+++ b/tests/standing.rs
@@ -0,0 +1,103 @@
+//! Discovery that is away: at a start, while hosts begin to drain, and while idle clients hold all descriptors.
+
+mod stage;
+use stage::*;
+use std::net::TcpListener;
+use std::time::{Duration, Instant};
+
+/// A change counts as told this long after discovery had it and could be reached (the protocol page).
+const TOLD: Duration = Duration::from_secs(6);
+/// A process that was started again serves by then (the page of the standing test).
+const READY: Duration = Duration::from_secs(10);
+/// Longer than any pause between two tries.
+const AWAY: Duration = Duration::from_secs(8);
+
+/// An address at which nobody listens for now.
+fn nobody(number: u8) -> String {
+    let free = TcpListener::bind((format!("127.77.{number}.3"), 0)).expect("a free port");
+    free.local_addr().expect("an address").to_string()
+}
+
+/// A gateway whose discovery refuses connections, with two hosts of which the first is about to drain.
+struct Refused {
+    gateway: Gateway,
+    discovery: String,
+    hosts: [Host; 2],
+    drained: String,
+}
+
+impl Refused {
+    fn new(number: u8, sockets: usize) -> Refused {
+        let stage = Stage::new(number).sockets(sockets);
+        let rows = |value| (0..40).map(|_| Say::Row(value)).collect();
+        let hosts = [stage.host(rows(b"old")), stage.host(rows(b"new"))];
+        let drained = stage.entries(&[(&hosts[0], "draining", "standby"), (&hosts[1], "up", "primary")]);
+        let stage = stage.list(&[(&hosts[0], "up", "standby"), (&hosts[1], "up", "primary")]);
+        let discovery = nobody(number);
+        let gateway = stage.start_env(&stage.config(), &[("GW_DISCOVERY", &discovery)]);
+        gateway.line_with("serves at");
+        Refused { gateway, discovery, hosts, drained }
+    }
+
+    /// Discovery is back and tells of the drain. From then on nothing goes to the host that drains.
+    fn back(&self) {
+        let listener = TcpListener::bind(&self.discovery).expect("the port is still free");
+        let begun = Instant::now();
+        let line = format!("{}\n", list(42, true, &self.drained));
+        let script = vec![Act::Say(HEAD.to_vec()), Act::Say(chunk(&line)), Act::Beat];
+        let source = WatchScripts::play(listener, vec![script]);
+        source.next();
+        assert!(begun.elapsed() < TOLD, "asked only after {:?}", begun.elapsed());
+        self.gateway.wait_for("lists=", |count| count >= 2);
+        let before = self.hosts[0].queries();
+        let mut client = self.gateway.client();
+        for _ in 0..30 {
+            assert_eq!(client.ask(&select("a", "view", 20_000))[1].1[6..], *b"new");
+        }
+        assert_eq!(self.hosts[0].queries(), before);
+    }
+}
+
+#[test]
+fn a_drain_while_discovery_refuses_is_heeded_once_it_is_back() {
+    let refused = Refused::new(230, 1024);
+    std::thread::sleep(AWAY);
+    refused.back();
+}
+
+#[test]
+fn idle_clients_that_hold_all_descriptors_do_not_keep_discovery_out() {
+    let refused = Refused::new(231, 60);
+    let idle: Vec<Client> = (0..80).map(|_| refused.gateway.raw_client()).collect();
+    let until = Instant::now() + AWAY;
+    let mut more = Vec::new();
+    while Instant::now() < until {
+        // They come again for as long as it lasts: whoever was closed is replaced.
+        more.push(refused.gateway.raw_client());
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    refused.back();
+    drop((idle, more));
+}
+
+#[test]
+fn a_gateway_with_a_whole_list_is_ready_in_time_while_discovery_is_slow_or_refuses() {
+    const HOSTS: usize = 120;
+    for (number, refuses) in [(232, false), (233, true)] {
+        let stage = Stage::new(number);
+        let host = stage.host(vec![]);
+        let hosts = vec![(&host, "up", "standby"); HOSTS];
+        let stage = stage.list(&hosts);
+        let silent = WatchScripts::play(
+            TcpListener::bind((format!("127.77.{number}.4"), 0)).expect("a free port"),
+            vec![],
+        );
+        let slow = silent.address().to_string();
+        let discovery = if refuses { nobody(number) } else { slow };
+        let begun = Instant::now();
+        let gateway = stage.start_env(&stage.config(), &[("GW_DISCOVERY", &discovery)]);
+        gateway.line_with("serves at");
+        assert_eq!(kinds(&gateway.client().ask("")), "IZ");
+        assert!(begun.elapsed() < READY, "ready only after {:?}", begun.elapsed());
+    }
+}
