--- a/crates/lab/src/gateways.rs
+++ b/crates/lab/src/gateways.rs
@@ -46,7 +46,7 @@
         let (number, listen, register, known) = (self.number, self.listen, tier.register, &tier.known);
         let (peers, seed) =
             (&self.peers, seed.wrapping_mul(31).wrapping_add(self.starts * 101 + number as u64));
-        let settings = settings(tier.strong);
+        let settings = settings_of_tier(tier.strong, 5, 'a');
         let config = format!(
             r#"{{"name":"n{number}","listen":"{listen}","discovery":"{register}","seed":"{seed:x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":2048}},{peers}"known":{known},"settings":{settings}}}"#
         );
@@ -122,10 +122,11 @@
 /// Names of the classes: a bounded read, a read of any data, a keyed write.
 pub const CLASSES: [&str; 3] = ["view", "history", "pay"];
 
-fn settings(strong: bool) -> String {
+/// The settings of a tier of so many gateways, for one that stands in this zone.
+pub fn settings_of_tier(strong: bool, gateways: usize, zone: char) -> String {
     let levels = if strong { ["strong", "strong"] } else { ["lag_bound", "eventual"] };
     format!(
-        r#"{{"balancers":5,"zone":"a","granularity_us":5000,"membership_mode":"pushed",
+        r#"{{"balancers":{gateways},"zone":"{zone}","granularity_us":5000,"membership_mode":"pushed",
 "bounds":{{"attempts_cap":8,"cancel":true,"conn_idle_us":30000000,"connect_timeout_us":250000,"max_retry_after_us":500000,"retry_after":true,"probes":false,"second_copies":false}},
 "classes":[{{"aim_us":500000,"deadline_us":1200000,"idempotency":"safe","name":"view","points":2.0,"late_share":0.2}},
 {{"aim_us":600000,"deadline_us":1500000,"idempotency":"safe","name":"history","points":2.0,"late_share":0.0}},
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,8 @@
 //! | `gateways.rs`, `stage.rs` | gateway processes, and all of it together |
 //! | `client.rs`, `ledger.rs` | clients, and what each session is owed |
 //! | `figures.rs`, `report.rs` | what is measured and how it is told |
+//! | `measure.rs` | what the system says of a process |
+//! | `scale/` | fleets of hollow gateways |
 //! | `cost.rs`, `ownership.rs`, `sessions.rs`, `large.rs`, `demo.rs` | the experiments |
 //!
 //! An experiment is trusted once it has caught a planted fault: each names its own.
@@ -22,10 +24,12 @@
 pub mod hosts;
 pub mod large;
 pub mod ledger;
+pub mod measure;
 pub mod ownership;
 pub mod register;
 pub mod relay;
 pub mod report;
+pub mod scale;
 pub mod sessions;
 pub mod stage;
 
@@ -58,7 +62,7 @@
 }
 
 /// All experiments.
-pub const EXPERIMENTS: [Experiment; 4] = [
+pub const EXPERIMENTS: [Experiment; 5] = [
     Experiment {
         name: "cost",
         shows: "processor time per 10,000 requests, in turns with the build that --baseline names",
@@ -71,6 +75,12 @@
         plants: &ownership::PLANTS,
         run: ownership::run,
     },
+    Experiment {
+        name: "scale-single-owner",
+        shows: "fleets of hollow gateways, one owner of all duties: what each role costs at the operators' size",
+        plants: &scale::PLANTS,
+        run: scale::run_single_owner,
+    },
     Experiment {
         name: "sessions",
         shows:
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! `petrelgauge-lab`: runs experiments, sets up a stage for a person, and shows the gateway at work.
 
 use clap::{Parser, Subcommand};
-use petrelgauge_lab::{demo, Options, EXPERIMENTS};
+use petrelgauge_lab::{demo, scale, Options, EXPERIMENTS};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -56,6 +56,24 @@
     },
     /// Some load on a stage, and a table of what was served
     Demo,
+    /// Checks the tables of docs/CAPACITY.md against the committed figures
+    Capacity {
+        /// Write them anew
+        #[arg(long)]
+        write: bool,
+        /// The page
+        #[arg(long, default_value = "docs/CAPACITY.md")]
+        page: PathBuf,
+        /// Where the figures are
+        #[arg(long, default_value = "docs/capacity")]
+        figures: PathBuf,
+    },
+    /// A process of hollow gateways; the scale run starts them
+    #[command(hide = true)]
+    Hollow {
+        /// What it is told
+        plan: PathBuf,
+    },
     /// Plays the exhaustive models: `petrelgauge-models`, which is built apart
     Models {
         /// Handed on
@@ -97,6 +115,10 @@
         }
         Command::Up { gateways, members, operator, json } => demo::up(gateways, members, operator, json),
         Command::Demo => demo::run(),
+        Command::Capacity { write, page, figures } => {
+            scale::capacity::page(&page, &figures, write).map(|()| true).map_err(std::io::Error::other)
+        }
+        Command::Hollow { plan } => scale::hollow::run(&plan).map(|()| true),
         Command::Models { arguments } => {
             let program = std::env::current_exe()?.with_file_name("petrelgauge-models");
             Ok(std::process::Command::new(program).args(arguments).status()?.success())
--- /dev/null
+++ b/crates/lab/src/scale/capacity.rs
@@ -0,0 +1,230 @@
+//! The tables of `docs/CAPACITY.md`, made from the committed JSON of scale runs.
+
+use super::figures::{Prediction, Reckoned};
+use super::VERSION;
+use serde_json::Value;
+use std::path::Path;
+use thiserror::Error;
+
+/// Why the page cannot be checked or written.
+#[derive(Debug, Error)]
+pub enum CapacityError {
+    /// A file cannot be read or written.
+    #[error("{file}: {cause}")]
+    File {
+        /// The file.
+        file: String,
+        /// What the system says.
+        cause: std::io::Error,
+    },
+    /// A file is no report of a scale run.
+    #[error("{file}: it is no report of a scale run: {cause}")]
+    Shape {
+        /// The file.
+        file: String,
+        /// What does not fit.
+        cause: String,
+    },
+    /// Its version is another.
+    #[error("{file}: its version is {found}, and {VERSION} is read here")]
+    Version {
+        /// The file.
+        file: String,
+        /// The version that it has.
+        found: String,
+    },
+    /// The page has no place for a table.
+    #[error("{page}: it lacks the marks of the table {table:?}")]
+    Marks {
+        /// The page.
+        page: String,
+        /// The table.
+        table: String,
+    },
+    /// Page and JSON differ.
+    #[error("{page}: the table {table:?} differs from the committed JSON; petrelgauge-lab capacity --write makes it anew")]
+    Differs {
+        /// The page.
+        page: String,
+        /// The table.
+        table: String,
+    },
+}
+
+/// The reports that the page shows: names of files without their ending.
+const REPORTS: [&str; 1] = ["single-owner"];
+
+/// Checks every table of the page against the JSON of this folder, or writes them anew.
+pub fn page(page: &Path, folder: &Path, write: bool) -> Result<(), CapacityError> {
+    let name = page.display().to_string();
+    let read = |path: &Path| {
+        let file = path.display().to_string();
+        std::fs::read_to_string(path).map_err(|cause| CapacityError::File { file, cause })
+    };
+    let mut text = read(page)?;
+    let before = text.clone();
+    for report in REPORTS {
+        let file = folder.join(format!("{report}.json"));
+        let figures = figures(&file.display().to_string(), &read(&file)?)?;
+        for (table, lines) in tables(&file.display().to_string(), &figures)? {
+            let table = format!("{report} {table}");
+            text = replaced(&name, &text, &table, &lines, write)?;
+        }
+    }
+    if write && text != before {
+        std::fs::write(page, text).map_err(|cause| CapacityError::File { file: name, cause })?;
+    }
+    Ok(())
+}
+
+/// The figures of a report.
+fn figures(file: &str, text: &str) -> Result<Value, CapacityError> {
+    let shape = |cause: String| CapacityError::Shape { file: file.into(), cause };
+    let mut report: Value = serde_json::from_str(text).map_err(|cause| shape(cause.to_string()))?;
+    let figures = report.get_mut("figures").map(Value::take).ok_or_else(|| shape("no figures".into()))?;
+    match figures["version"].as_u64() {
+        Some(VERSION) => Ok(figures),
+        _ => Err(CapacityError::Version { file: file.into(), found: figures["version"].to_string() }),
+    }
+}
+
+/// The page with this table between its marks. Where it is only to be checked, the table must be there already.
+fn replaced(page: &str, text: &str, table: &str, lines: &str, write: bool) -> Result<String, CapacityError> {
+    let (begin, end) = (format!("<!-- begin {table} -->\n"), format!("<!-- end {table} -->"));
+    let marks = || CapacityError::Marks { page: page.into(), table: table.into() };
+    let from = text.find(&begin).ok_or_else(marks)? + begin.len();
+    let to = from + text[from..].find(&end).ok_or_else(marks)?;
+    if !write && text[from..to] != *lines {
+        return Err(CapacityError::Differs { page: page.into(), table: table.into() });
+    }
+    Ok(format!("{}{lines}{}", &text[..from], &text[to..]))
+}
+
+/// All tables of a report: their names, and their lines.
+fn tables(file: &str, figures: &Value) -> Result<Vec<(&'static str, String)>, CapacityError> {
+    let shape =
+        |cause: serde_json::Error| CapacityError::Shape { file: file.into(), cause: cause.to_string() };
+    let reckoned: Vec<Reckoned> = serde_json::from_value(figures["reckoned"].clone()).map_err(shape)?;
+    let predictions: Vec<Prediction> =
+        serde_json::from_value(figures["predictions"].clone()).map_err(shape)?;
+    Ok(vec![
+        ("run", run_table(figures)),
+        ("budgets", budgets(&reckoned)),
+        ("predictions", predicted(&predictions)),
+        ("compared", compared(figures)),
+        ("troubles", troubles(figures)),
+    ])
+}
+
+fn run_table(figures: &Value) -> String {
+    let machine = &figures["machine"];
+    format!(
+        "| commit | cores | memory | lease | took | processes | short | furthest over its budget |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n| {} | {} | {} kB | {} ms | {} s | {} | {} | {} |\n",
+        word(&figures["commit"]),
+        machine["cores"],
+        machine["memory_kb"],
+        figures["lease_ms"],
+        figures["took_s"],
+        figures["processes"],
+        figures["short"],
+        word(&figures["missing_first"]),
+    )
+}
+
+fn word(value: &Value) -> &str {
+    value.as_str().unwrap_or("none")
+}
+
+fn budgets(reckoned: &[Reckoned]) -> String {
+    let mut lines = String::from(
+        "| role | figure | at the operators' size | budget | times the budget | slopes, with their spread |\n| --- | --- | --- | --- | --- | --- |\n",
+    );
+    for one in reckoned {
+        let slopes: Vec<String> = one
+            .columns
+            .iter()
+            .zip(one.fit.slopes.iter().zip(&one.fit.errors))
+            .map(|(column, (slope, error))| format!("{} ± {} a {column}", short(*slope), short(*error)))
+            .collect();
+        let budget = one.budget.map_or("-".to_string(), |budget| format!("{budget:.0}"));
+        let ratio = one.ratio().map_or("-".to_string(), short);
+        let square = if one.square { ", **grows with the square**" } else { "" };
+        lines += &format!(
+            "| {} | {} ({}) | {}{square} | {budget} | {ratio} | {} |\n",
+            one.role,
+            one.name,
+            one.unit,
+            short(one.value),
+            slopes.join("; ")
+        );
+    }
+    lines
+}
+
+fn predicted(predictions: &[Prediction]) -> String {
+    let mut lines = String::from(
+        "| figure | gateways | hosts | changes a minute | predicted | measured | within a quarter |\n| --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for one in predictions {
+        lines += &format!(
+            "| {} | {} | {} | {} | {} | {} | {} |\n",
+            one.figure,
+            one.size.gateways,
+            one.size.hosts,
+            one.size.changes * 60.0,
+            short(one.predicted),
+            short(one.measured),
+            if one.holds { "yes, or under its floor" } else { "**no**" },
+        );
+    }
+    lines
+}
+
+fn compared(figures: &Value) -> String {
+    let mut lines = String::from("| a gateway without load, in | hollow | real |\n| --- | --- | --- |\n");
+    for one in figures["compared"].as_array().into_iter().flatten() {
+        lines += &format!("| {} | {} | {} |\n", word(&one["figure"]), one["hollow"], one["real"]);
+    }
+    lines
+}
+
+fn troubles(figures: &Value) -> String {
+    let all = &figures["troubles"];
+    let mut lines = String::from(
+        "| trouble | bytes a gateway and second: mean, worst | processor time: mean, worst (us/s) | until all hold the newest list |\n| --- | --- | --- | --- |\n",
+    );
+    let names = [
+        ("calm", "none"),
+        ("restart", "a tenth starts at once"),
+        ("zone_gone", "a zone gone and back"),
+        ("regions_cut", "regions cut for three leases"),
+    ];
+    for (key, name) in names {
+        let one = &all[key];
+        let seconds = if one["seconds"].is_object() { &one["seconds"] } else { one };
+        let held = one["list_held_ms"].as_u64().map_or("-".to_string(), |held| format!("{held} ms"));
+        lines += &format!(
+            "| {name} | {}, {} | {}, {} | {held} |\n",
+            seconds["mean_bytes"], seconds["worst_bytes"], seconds["mean_cpu_us"], seconds["worst_cpu_us"]
+        );
+    }
+    lines += &format!(
+        "\nA change of the list is held by all after {} ms, new settings after {} ms; after the cut all owners are known again after {} ms, and of {} duties {} had an owner at most at one look.\n",
+        all["list_held_by_all_ms"],
+        all["settings_held_by_all_ms"],
+        all["regions_cut"]["owners_known_after_ms"],
+        all["regions_cut"]["duties"],
+        all["regions_cut"]["most_owned"],
+    );
+    lines
+}
+
+/// A figure with three digits that count.
+fn short(value: f64) -> String {
+    match value.abs() {
+        0.0 => "0".into(),
+        size if size >= 100.0 => format!("{value:.0}"),
+        size if size >= 1.0 => format!("{value:.2}"),
+        _ => format!("{value:.2e}"),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/mod.rs
@@ -0,0 +1,433 @@
+//! Experiment `scale`: fleets of hollow gateways, with real ones beside them, at sizes that grow; what each role costs,
+//! what that comes to at the operators' size, and what troubles cost the whole fleet.
+//!
+//! | file | what it holds |
+//! | --- | --- |
+//! | `addresses.rs` | where gateways hear each other, zones and regions |
+//! | `list_service.rs` | the emulated list service |
+//! | `protocol.rs`, `hollow.rs` | a process of hollow gateways, and what is said to it |
+//! | `fleet.rs` | a fleet that runs, and its costs |
+//! | `troubles.rs` | restarts, a zone gone, regions cut, new settings |
+//! | `fit.rs`, `figures.rs` | slopes, predictions, budgets |
+//! | `capacity.rs` | the tables of `docs/CAPACITY.md` from the committed JSON |
+
+pub mod addresses;
+pub mod capacity;
+pub mod figures;
+pub mod fit;
+pub mod fleet;
+pub mod hollow;
+pub mod list_service;
+pub mod protocol;
+pub mod troubles;
+
+use crate::measure::machine_kb;
+use crate::report::Verdict;
+use crate::Options;
+use figures::{Figure, Prediction, Reckoned, Size, DUTIES, SESSIONS};
+use fleet::{Cost, Costs, Family, Fleet, Plan};
+use protocol::Plant;
+use serde_json::{json, Value};
+use std::time::{Duration, Instant};
+
+/// Faults that must make the experiment fail.
+pub const PLANTS: [&str; 2] = ["flood", "hoard"];
+/// Version of the JSON that is written.
+pub const VERSION: u64 = 1;
+/// Processes of one fleet at most.
+const MOST_PROCESSES: usize = 200;
+/// How long a run may take, and a short one.
+const LONGEST: [Duration; 2] = [Duration::from_secs(180), Duration::from_secs(60)];
+/// How long it may take until every duty has an owner that all know.
+const OWNED: Duration = Duration::from_secs(20);
+/// How much a hollow gateway may cost beside a real one, and the other way round.
+const ALIKE: f64 = 0.2;
+/// Part of its entries by which a gateway's state may grow within a play.
+const GROWTH: f64 = 0.05;
+
+/// How duties are carried.
+pub struct Mode {
+    /// The experiment's name.
+    pub name: &'static str,
+    /// How many electors there are.
+    pub electors: usize,
+    /// More of the record `ownership`.
+    pub record: &'static str,
+    /// How many of them share the owners' work.
+    pub owners: usize,
+    /// Duties that there are.
+    pub duties: u64,
+    /// Groups whose limits are shared out at most.
+    pub shared: f64,
+}
+
+/// One owner for all groups.
+pub const SINGLE_OWNER: Mode = Mode {
+    name: "scale-single-owner",
+    electors: 3,
+    record: "duties: [\"scout\", \"shares\"]\n",
+    owners: 1,
+    duties: 2,
+    shared: 256.0,
+};
+
+/// Spans of a run.
+#[derive(Clone, Copy)]
+struct Spans {
+    /// The lease (milliseconds).
+    lease_ms: u64,
+    /// From when all duties have owners to the first look.
+    warm: Duration,
+    /// Between two looks: some times the 1.05 s after which a leader is told again.
+    window: Duration,
+}
+
+impl Spans {
+    fn of(short: bool) -> Spans {
+        match short {
+            true => Spans {
+                lease_ms: 800,
+                warm: Duration::from_millis(400),
+                window: Duration::from_millis(2_100),
+            },
+            false => {
+                Spans { lease_ms: 2_000, warm: Duration::from_secs(2), window: Duration::from_millis(5_250) }
+            }
+        }
+    }
+}
+
+/// A fleet's size: gateways, entries of the list, changes of it a minute.
+type Played = (usize, usize, f64);
+
+/// Sizes of a run: gateways, hosts and changes of the list a minute. The last of each axis is the largest.
+struct Axes {
+    base: Played,
+    gateways: [usize; 4],
+    hosts: [usize; 4],
+    changes: [f64; 4],
+    /// Gateways of the fleets that exchange marks, and hosts of all of these.
+    sessions: ([usize; 3], usize),
+}
+
+impl Axes {
+    fn of(short: bool) -> Axes {
+        match short {
+            true => Axes {
+                base: (40, 120, 60.0),
+                gateways: [20, 40, 80, 160],
+                hosts: [60, 120, 240, 480],
+                changes: [0.0, 300.0, 1_500.0, 3_000.0],
+                sessions: ([12, 16, 24], 50),
+            },
+            false => Axes {
+                base: (150, 600, 60.0),
+                gateways: [50, 150, 400, 800],
+                hosts: [120, 600, 1_500, 2_900],
+                changes: [0.0, 300.0, 1_500.0, 3_000.0],
+                sessions: ([12, 20, 36], 80),
+            },
+        }
+    }
+
+    /// All sizes: first those from which the others are predicted, then the largest of each axis.
+    fn sizes(&self) -> (Vec<Played>, Vec<Played>) {
+        let (gateways, hosts, changes) = self.base;
+        let mut small = vec![self.base];
+        small.extend(self.gateways[..3].iter().map(|count| (*count, hosts, changes)));
+        small.extend(self.hosts[..3].iter().map(|count| (gateways, *count, changes)));
+        small.extend(self.changes[..3].iter().map(|rate| (gateways, hosts, *rate)));
+        small.dedup();
+        let mut seen = Vec::new();
+        small.retain(|size| {
+            let new = !seen.contains(size);
+            seen.push(*size);
+            new
+        });
+        let largest = vec![
+            (self.gateways[3], hosts, changes),
+            (gateways, self.hosts[3], changes),
+            (gateways, hosts, self.changes[3]),
+        ];
+        (small, largest)
+    }
+}
+
+/// All that a run has.
+struct Run<'a> {
+    mode: &'a Mode,
+    options: &'a Options,
+    spans: Spans,
+    plant: Option<Plant>,
+    /// Costs of quiet hollow gateways and of real ones, side by side.
+    alike: Vec<(Cost, Cost)>,
+    /// Entries of a gateway at the first and the second look.
+    growth: Vec<(f64, f64)>,
+    processes: usize,
+    least_free_kb: u64,
+}
+
+/// Runs it with one owner of all duties.
+pub fn run_single_owner(options: &Options) -> std::io::Result<Verdict> {
+    run_mode(&SINGLE_OWNER, options)
+}
+
+fn run_mode(mode: &Mode, options: &Options) -> std::io::Result<Verdict> {
+    let plant = match options.plant.as_deref() {
+        Some("flood") => Some(Plant::Flood),
+        Some(_) => Some(Plant::Hoard),
+        None => None,
+    };
+    let spans = Spans::of(options.short);
+    let (alike, growth) = (Vec::new(), Vec::new());
+    let run = Run { mode, options, spans, plant, alike, growth, processes: 0, least_free_kb: u64::MAX };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, run.all())
+}
+
+impl Run<'_> {
+    async fn all(mut self) -> std::io::Result<Verdict> {
+        let begun = Instant::now();
+        let mut verdict = Verdict::new(self.mode.name, self.options.seed);
+        let axes = Axes::of(self.options.short);
+        let (small, largest) = axes.sizes();
+        let mut played = Vec::new();
+        for size in small {
+            played.push(self.play(size, Family::Duties).await?);
+        }
+        let mut predictions = Vec::new();
+        for size in largest {
+            let predicted = self.predict(&DUTIES, &played, size);
+            let (size, costs) = self.play(size, Family::Duties).await?;
+            predictions.extend(predicted.iter().map(|(figure, value)| figure.compare(*value, size, &costs)));
+            played.push((size, costs));
+        }
+        let mut marks = Vec::new();
+        let (counts, hosts) = axes.sessions;
+        for (place, gateways) in counts.into_iter().enumerate() {
+            let predicted = self.predict(&SESSIONS, &marks, (gateways, hosts, 60.0));
+            let (size, costs) = self.play((gateways, hosts, 60.0), Family::Sessions).await?;
+            if place + 1 == counts.len() {
+                predictions
+                    .extend(predicted.iter().map(|(figure, value)| figure.compare(*value, size, &costs)));
+            }
+            marks.push((size, costs));
+        }
+        let troubles = self.troubles(axes.base, &mut verdict).await?;
+        let shared = self.mode.shared;
+        let mut reckoned: Vec<Reckoned> = reckon(&DUTIES, &played, shared);
+        reckoned.extend(reckon(&SESSIONS, &marks, f64::MAX));
+        self.judge(&mut verdict, &predictions, begun.elapsed())?;
+        verdict.figures =
+            self.figures(&played, &marks, &predictions, &reckoned, troubles, begun.elapsed())?;
+        Ok(verdict)
+    }
+
+    fn plan(&self, (gateways, hosts, changes_per_minute): Played, family: Family) -> Plan {
+        let Mode { electors, record, .. } = self.mode;
+        let lease_ms = self.spans.lease_ms;
+        let ownership = format!("electors: {electors}\nlease: {lease_ms}ms\ndelay: 50ms\n{record}");
+        Plan {
+            gateways,
+            hosts,
+            changes_per_minute,
+            family,
+            ownership,
+            electors: Plan::spread(*electors, gateways),
+            owners: self.mode.owners,
+            seed: self.options.seed,
+            plant: self.plant,
+        }
+    }
+
+    async fn start(&mut self, size: Played, family: Family) -> std::io::Result<Fleet> {
+        let plan = self.plan(size, family);
+        let (changes, seed) = (plan.changes_per_minute, plan.seed);
+        let mut fleet = Fleet::start(plan).await?;
+        self.processes = self.processes.max(fleet.hollow.len() + fleet::REAL);
+        let duties = if family == Family::Duties { self.mode.duties } else { 0 };
+        fleet.until(OWNED, "all owners", |one| one.known_owners >= duties).await?;
+        if changes > 0.0 {
+            tokio::task::spawn_local(fleet.service.clone().keep_changing(changes, seed));
+        }
+        Ok(fleet)
+    }
+
+    /// Plays one size: what each role costs there.
+    async fn play(&mut self, size: Played, family: Family) -> std::io::Result<(Size, Costs)> {
+        let mut fleet = self.start(size, family).await?;
+        tokio::time::sleep(self.spans.warm).await;
+        let first = fleet.snapshot().await?;
+        // Marks of sessions go out at a steady pace: a fifth of the span tells as much.
+        let part = if family == Family::Sessions { 5 } else { 1 };
+        tokio::time::sleep(self.spans.window / part).await;
+        let second = fleet.snapshot().await?;
+        let costs = fleet.costs(&first, &second);
+        self.growth.push((fleet.costs(&first, &first).gateway.entries, costs.gateway.entries));
+        self.alike.push((costs.quiet, costs.real));
+        self.look_at_memory()?;
+        let (gateways, hosts) = (fleet.plan.gateways as f64, fleet.plan.hosts as f64);
+        let (groups, changes) = (fleet.plan.groups() as f64, size.2 / 60.0);
+        let size = Size { gateways, hosts, groups, changes };
+        eprintln!(
+            "{family:?} {size:?}: owner {:.0} B/s, gateway {:.0} us/s",
+            costs.owner.bytes_out, costs.gateway.cpu_us
+        );
+        Ok((size, costs))
+    }
+
+    fn look_at_memory(&mut self) -> std::io::Result<()> {
+        self.least_free_kb = self.least_free_kb.min(crate::measure::available_kb()?);
+        Ok(())
+    }
+
+    fn predict<'f>(
+        &self,
+        figures: &'f [Figure],
+        played: &[(Size, Costs)],
+        (gateways, hosts, per_minute): Played,
+    ) -> Vec<(&'f Figure, f64)> {
+        let plan = self.plan((gateways, hosts, per_minute), Family::Duties);
+        let groups = plan.groups() as f64;
+        let size =
+            Size { gateways: gateways as f64, hosts: hosts as f64, groups, changes: per_minute / 60.0 };
+        let shared = self.mode.shared;
+        let one = |figure: &'f Figure| {
+            let fit = figure.fit(played, shared)?;
+            Some((figure, figure.at(&fit, &size, shared)))
+        };
+        figures.iter().filter_map(one).collect()
+    }
+
+    async fn troubles(&mut self, size: Played, verdict: &mut Verdict) -> std::io::Result<Value> {
+        let mut fleet = self.start(size, Family::Duties).await?;
+        tokio::time::sleep(self.spans.warm).await;
+        let lease = Duration::from_millis(self.spans.lease_ms);
+        let told = troubles::play(&mut fleet, lease, verdict).await?;
+        self.look_at_memory()?;
+        Ok(told)
+    }
+
+    /// What a run promises beside the troubles.
+    fn judge(
+        &self,
+        verdict: &mut Verdict,
+        predictions: &[Prediction],
+        took: Duration,
+    ) -> std::io::Result<()> {
+        for one in predictions.iter().filter(|one| !one.holds) {
+            let Prediction { figure, predicted, measured, size, .. } = one;
+            let text = format!("{figure} at {size:?}: {predicted:.0} was predicted, {measured:.0} measured");
+            verdict.promise(text, false);
+        }
+        verdict.promise("the largest sizes were predicted", !predictions.is_empty());
+        for (name, [hollow, real]) in self.compared() {
+            let off = (hollow - real).abs() / real.max(hollow).max(1e-9);
+            verdict.promise(
+                format!("a hollow gateway costs in {name} what a real one does: {hollow:.0}, {real:.0}"),
+                off <= ALIKE,
+            );
+        }
+        for (first, second) in &self.growth {
+            let text = format!("state does not grow with time: {first:.0}, then {second:.0} entries");
+            if *second > first * (1.0 + GROWTH) + 10.0 {
+                verdict.promise(text, false);
+            }
+        }
+        let longest = LONGEST[usize::from(self.options.short)];
+        verdict.promise(format!("the run took no longer than {longest:?}: {took:?}"), took <= longest);
+        verdict.promise(
+            format!("no more than {MOST_PROCESSES} processes: {}", self.processes),
+            self.processes <= MOST_PROCESSES,
+        );
+        verdict.promise(
+            "half of the machine's memory was free at each look",
+            self.least_free_kb * 2 >= machine_kb()?,
+        );
+        Ok(())
+    }
+
+    /// What quiet hollow gateways and real ones cost, over all plays.
+    fn compared(&self) -> [(&'static str, [f64; 2]); 5] {
+        let sum = |of: fn(&Cost) -> f64| {
+            let hollow = self.alike.iter().map(|(hollow, _)| of(hollow)).sum::<f64>();
+            let real = self.alike.iter().map(|(_, real)| of(real)).sum::<f64>();
+            [hollow / self.alike.len().max(1) as f64, real / self.alike.len().max(1) as f64]
+        };
+        [
+            ("datagrams in a second", sum(|cost| cost.datagrams_in)),
+            ("datagrams out a second", sum(|cost| cost.datagrams_out)),
+            ("bytes of datagrams a second", sum(|cost| cost.bytes_in + cost.bytes_out)),
+            ("bytes of lists a second", sum(|cost| cost.list_bytes)),
+            ("microseconds of processor time a second", sum(|cost| cost.cpu_us)),
+        ]
+    }
+
+    fn figures(
+        &self,
+        played: &[(Size, Costs)],
+        marks: &[(Size, Costs)],
+        predictions: &[Prediction],
+        reckoned: &[Reckoned],
+        troubles: Value,
+        took: Duration,
+    ) -> std::io::Result<Value> {
+        let told = |played: &[(Size, Costs)], figures: &[Figure]| -> Vec<Value> {
+            let one = |(size, costs): &(Size, Costs)| {
+                let measured: Vec<Value> = figures
+                    .iter()
+                    .map(|figure| {
+                        json!([format!("{}: {}", figure.role, figure.name), round((figure.of)(costs))])
+                    })
+                    .collect();
+                json!({ "size": size, "measured": measured })
+            };
+            played.iter().map(one).collect()
+        };
+        let compared: Vec<Value> = self
+            .compared()
+            .into_iter()
+            .map(|(name, [hollow, real])| json!({ "figure": name, "hollow": round(hollow), "real": round(real) }))
+            .collect();
+        let first = missing_first(reckoned);
+        Ok(json!({
+            "version": VERSION,
+            "mode": self.mode.name,
+            "short": self.options.short,
+            "machine": { "cores": std::thread::available_parallelism()?.get(), "memory_kb": machine_kb()? },
+            "commit": commit(),
+            "lease_ms": self.spans.lease_ms,
+            "took_s": took.as_secs(),
+            "processes": self.processes,
+            "duties": told(played, &DUTIES),
+            "marks": told(marks, &SESSIONS),
+            "predictions": predictions,
+            "reckoned": reckoned,
+            "compared": compared,
+            "troubles": troubles,
+            "missing_first": first.map(|one| format!("{}: {}", one.role, one.name)),
+        }))
+    }
+}
+
+fn reckon(figures: &[Figure], played: &[(Size, Costs)], shared: f64) -> Vec<Reckoned> {
+    let one = |figure: &Figure| Some(figure.reckon(figure.fit(played, shared)?, shared));
+    figures.iter().filter_map(one).collect()
+}
+
+/// The figure that is furthest over its budget, of what a fleet of the operators' size can switch on.
+pub fn missing_first(reckoned: &[Reckoned]) -> Option<&Reckoned> {
+    let on = reckoned.iter().filter(|one| one.role != SESSIONS[0].role);
+    let over = on.filter(|one| one.ratio().is_some_and(|ratio| ratio > 1.0));
+    over.max_by(|a, b| f64::total_cmp(&a.ratio().unwrap_or(0.0), &b.ratio().unwrap_or(0.0)))
+}
+
+fn round(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
+
+/// The commit that is checked out, if there is one.
+fn commit() -> Option<String> {
+    let told = std::process::Command::new("git").args(["rev-parse", "--short", "HEAD"]).output().ok()?;
+    String::from_utf8(told.stdout).ok().map(|text| text.trim().to_string())
+}
--- a/crates/lifecycle/src/desk.rs
+++ b/crates/lifecycle/src/desk.rs
@@ -391,6 +391,11 @@
         self.keeper.as_ref()?.token(now, key)
     }
 
+    /// Entries about other gateways' sessions.
+    pub fn session_entries(&self) -> usize {
+        self.keeper.as_ref().map_or(0, Keeper::entries)
+    }
+
     /// Counts of the sessions and gaps in what others told, if they are kept.
     pub fn session_counts(&self) -> Option<(Counts, u64)> {
         self.keeper.as_ref().map(|keeper| (keeper.counts(), keeper.holes()))
--- a/crates/ownership/src/shares/pool.rs
+++ b/crates/ownership/src/shares/pool.rs
@@ -130,6 +130,11 @@
         given
     }
 
+    /// Gateways that it holds something of, over all groups.
+    pub fn entries(&self) -> usize {
+        self.groups.values().map(|group| group.members.len()).sum()
+    }
+
     /// Lent and given away now, in thousandths of an even part, over all groups.
     pub fn sums(&self, now: Time) -> (i64, i64) {
         let members = || self.groups.values().flat_map(|group| group.members.values());
--- a/crates/sessions/src/keeper.rs
+++ b/crates/sessions/src/keeper.rs
@@ -351,6 +351,11 @@
         self.groups.values().flat_map(|group| &group.others).map(Coverage::holes).sum()
     }
 
+    /// Entries about other instances, over all groups.
+    pub fn entries(&self) -> usize {
+        self.groups.values().map(|group| group.others.len()).sum()
+    }
+
     fn ceiling(&self, now: Time) -> Time {
         now + self.set.clock_error
     }
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -177,6 +177,11 @@
         self.0.desk.borrow().token(now, key)
     }
 
+    /// Entries about other gateways' sessions.
+    pub fn session_entries(&self) -> usize {
+        self.0.desk.borrow().session_entries()
+    }
+
     /// Counts of the sessions, if they are kept.
     pub fn session_counts(&self) -> Option<(Counts, u64)> {
         self.0.desk.borrow().session_counts()
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,34 +1,24 @@
 //! The gateway: wiring and signals. See the README for what it is and `net` for how it works.
 #![forbid(unsafe_code)]
 
-use petrelgauge::facade::Facade;
 use petrelgauge::net::budget::Budget;
 use petrelgauge::net::cancel::CancelKeys;
 use petrelgauge::net::clock::Clock;
 use petrelgauge::net::config::Config;
+use petrelgauge::net::control::{bind_datagrams, reload, Control, Decisions, Environment};
 use petrelgauge::net::counters::{Counters, Gauge};
-use petrelgauge::net::discovery::Follower;
-use petrelgauge::net::duties::{Duties, SCOUT};
 use petrelgauge::net::front::Front;
 use petrelgauge::net::handover::Handover;
 use petrelgauge::net::hosts::Hosts;
 use petrelgauge::net::inherited;
 use petrelgauge::net::ops::Ops;
-use petrelgauge::net::peers::Peers;
 use petrelgauge::net::read_buffer::ReadBuffer;
-use petrelgauge::net::share_out::{ShareOut, SHARES};
 use petrelgauge::net::signals::{Signals, Told};
-use petrelgauge::{Class, Need, Settings, Time};
+use petrelgauge::Time;
 use petrelgauge_handover::company::Held;
-use petrelgauge_lifecycle::backoff::Backoff;
 use petrelgauge_lifecycle::gateway::{Action, Event, Gateway, ServingState, Stage};
 use petrelgauge_lifecycle::ops::{self, Known, MOST_CALLERS};
-use petrelgauge_ownership::Office;
-use petrelgauge_sessions::{Keeper, SettingsError};
-use rand_core::{RngCore, SeedableRng};
-use rand_pcg::Pcg64Mcg;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -36,17 +26,10 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
-/// Between two looks for idle connections that are of no more use, for clients that are too many, and at what is
-/// still open at the end.
-const SWEEP: Time = 500_000;
-const THIN_OUT: Time = 50_000;
+/// Between two looks at what is still open at the end (microseconds).
 const LOOK: Time = 10_000;
 /// Span after the start in which the staff is told that the list may be old, while discovery has not spoken yet.
 const LIST_PATIENCE: Time = 1_500_000;
-/// What a query waits here before it is read, the decisions before they are stepped, and a refusal before its client has
-/// it (microseconds): the 99th percentile of one of the three with the processor shared. More is no better: a client that
-/// is refused sooner has more time left than it is told to stay away, and comes back with nothing of it left.
-const WAY: Time = 3_000;
 /// Connections that the kernel holds ready.
 const BACKLOG: u32 = 1024;
 
@@ -75,15 +58,10 @@
     inherited: Option<std::net::TcpListener>,
     mut signals: Signals,
 ) -> Result<(), String> {
-    let mut settings = settings(&config)?;
-    let whole = Rc::new(Cell::new(whole(&config, &settings)));
-    let (classes, gateways) = (settings.classes.clone(), settings.routers);
     let clock = Clock::start().ahead(config.operator.clock_shift);
-    let (sessions, others) = sessions(&config, &classes, clock.now())?;
-    let hold = sessions.as_ref().map_or(0, |(keeper, _)| keeper.settings().hold);
-    settings.hold = hold;
-    let facade = Facade::with_sessions(settings, config.seed, sessions)
-        .map_err(|cause| format!("settings: {cause}"))?;
+    let decisions = Decisions::new(&config, clock.now())?;
+    let (facade, hold) = (decisions.facade.clone(), decisions.hold);
+    let whole = Rc::new(Cell::new(whole(&config, decisions.most_open)));
     // Where the platform holds the clients' socket, another process of this gateway may run, or have run a moment ago.
     let shared = inherited.is_some();
     let writer = config.seed ^ std::process::id() as u64;
@@ -98,19 +76,18 @@
     let counters = Rc::new(Counters::default());
     let budget = Budget::new(config.sockets, config.memory);
     let read_buffer = ReadBuffer::new();
-    let (connect, idle) = (config.info.connect_span(), config.info.idle_span());
-    let hosts = Hosts::new(clock, budget.clone(), counters.clone(), read_buffer.clone(), connect, idle);
-    let backoff = Backoff::new(gateways, config.seed.rotate_left(32));
-    let follower = Follower::new(
-        facade.clone(),
-        hosts.clone(),
-        counters.clone(),
+    let asked_for = facade.clone();
+    let environment = Environment {
         clock,
-        config.known.take(),
-        backoff,
+        budget: budget.clone(),
+        read_buffer: read_buffer.clone(),
+        counters: counters.clone(),
+        demand: Rc::new(move || asked_for.asked()),
         given,
-    );
-    let (told, numbers_of_hosts) = (follower.told(), follower.numbers());
+    };
+    let mut control = Control::new(&mut config, decisions, environment, bind_datagrams).await?;
+    let (hosts, duties) = (control.hosts.clone(), control.duties.clone());
+    let (told, names) = (control.told.clone(), control.names.clone());
     let heard = told.clone();
     let patience_until = clock.now() + LIST_PATIENCE;
     let mut reread: Result<Config, String> = Err(String::new());
@@ -121,17 +98,7 @@
     let (discovery, moved) = watch::channel(config.discovery);
 
     let mut tasks = JoinSet::new();
-    tasks.spawn_local(follower.follow(moved));
-    tasks.spawn_local(keep_time(facade.clone(), clock));
-    tasks.spawn_local(keep_clean(hosts.clone(), clock));
-    let numbers = numbers_of_hosts;
-    let duties = duties(&config, &facade, clock, &counters, &numbers)?;
-    let me = config.peer_listen.filter(|_| duties.is_some());
-    if let Some(listen) = others.or(me) {
-        let place = config.place().ok_or("peers: this gateway is none of them")?;
-        let peers = Peers::new(listen, place, config.peers.clone()).await?;
-        tasks.spawn_local(peers.talk(facade.clone(), clock, counters.clone(), duties.clone()));
-    }
+    control.start(&mut tasks, moved);
     // Held here also where nobody listens: the row of calls must not end.
     let ops = Ops { desk, hosts: hosts.clone(), clock, counters: counters.clone() };
     let _desk = ops.desk.clone();
@@ -142,7 +109,7 @@
     }
     let seen = facade.clone();
     if let Some(handover) = &handover {
-        let keep = handover.clone().keep(clock, facade.clone(), budget.clone(), numbers, whole.clone());
+        let keep = handover.clone().keep(clock, facade.clone(), budget.clone(), names, whole.clone());
         tasks.spawn_local(keep);
     }
     let leaving = duties.clone();
@@ -249,77 +216,6 @@
     Ok(())
 }
 
-/// This gateway's part in the fleet's duties, if the operator has switched them on.
-fn duties(
-    config: &Config,
-    facade: &Facade,
-    clock: Clock,
-    counters: &Rc<Counters>,
-    numbers: &Rc<RefCell<BTreeMap<String, u32>>>,
-) -> Result<Option<Rc<Duties>>, String> {
-    let Some(set) = &config.operator.ownership else { return Ok(None) };
-    if config.peer_listen.is_none() {
-        return Err("ownership: the configuration names no peer_listen".into());
-    }
-    let me = config.place().ok_or("ownership: this gateway is none of the peers")?;
-    let settings = set.settings(me, config.peers.len())?;
-    let elector = settings.electors.contains(&settings.me);
-    let now = clock.now();
-    let mut office =
-        Office::new(settings, now, config.seed).map_err(|cause| format!("ownership: {cause}"))?;
-    if elector {
-        // Electors are candidates too, and nobody else: so few ask, however many there are.
-        let wanted = [(set.scout, SCOUT), (set.shares, SHARES)];
-        wanted.iter().filter(|(on, _)| *on).for_each(|(_, duty)| office.want(now, *duty));
-    }
-    // A process that starts again must not take what was given to the one before it.
-    let drawn = Pcg64Mcg::seed_from_u64(config.seed ^ now as u64).next_u32();
-    let shares = set.shares.then(|| ShareOut::new(&office, drawn, facade.clone(), clock));
-    let (facade, counters, numbers) = (facade.clone(), counters.clone(), numbers.clone());
-    Ok(Some(Duties::new(office, shares, set.secret, facade, clock, counters, numbers)))
-}
-
-/// A keeper of sessions with the classes that carry them, and where marks of others are heard.
-type Kept = (Option<(Keeper, Vec<usize>)>, Option<SocketAddr>);
-
-/// The sessions that the operator has switched on, or else what the deployment asks for by itself: marks of this
-/// instance's own answers, since its start.
-fn sessions(config: &Config, classes: &[Class], now: Time) -> Result<Kept, String> {
-    let refused = |cause: SettingsError| format!("sessions: {cause}");
-    if let Some(set) = &config.operator.sessions {
-        let (places, mut settings) = (carrying(config, classes)?, set.settings.clone());
-        let mut exchange = None;
-        if set.peers {
-            let listen = config.peer_listen.ok_or("sessions: the configuration names no peer_listen")?;
-            let me = config.place().ok_or("sessions: this gateway is none of the peers")?;
-            (settings.me, settings.instances) = (me as u16, config.peers.len().min(u16::MAX.into()) as u16);
-            exchange = Some(listen);
-        }
-        return Ok((Some((Keeper::new(settings, now).map_err(refused)?, places)), exchange));
-    }
-    let places = carrying(config, classes)?;
-    if places.is_empty() {
-        return Ok((None, None));
-    }
-    let (positions, checks) = (config.info.tells_positions(), config.info.checks());
-    let told = petrelgauge_sessions::Settings { positions, checks, ..Default::default() };
-    let settings = petrelgauge_sessions::Settings { roams: false, tokens: false, ..told };
-    Ok((Some((Keeper::new(settings, 0).map_err(refused)?, places)), None))
-}
-
-/// Places of the classes that carry sessions: those that the operator names, or else those that the deployment asks
-/// for by itself.
-fn carrying(config: &Config, classes: &[Class]) -> Result<Vec<usize>, String> {
-    if let Some(set) = &config.operator.sessions {
-        return set.places(classes);
-    }
-    if !classes.iter().any(|class| class.need == Need::Session) || !config.info.remembers_sessions() {
-        return Ok(Vec::new());
-    }
-    let carrying = |place: &usize| matches!(classes[*place].need, Need::Write | Need::Session);
-    Ok((0..classes.len()).filter(carrying).collect())
-}
-
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // A gateway that starts again finds connections of its last run still winding up.
@@ -328,73 +224,12 @@
     socket.listen(BACKLOG)
 }
 
-/// The settings of a configuration, as this gateway keeps them.
-fn settings(config: &Config) -> Result<Settings, String> {
-    let mut settings = config.info.settings().map_err(|cause| format!("settings: {cause}"))?;
-    // The protocol has no probes, and the watch of discovery is always open.
-    settings.may_probe = false;
-    settings.list_on_request = false;
-    settings.way = WAY;
-    // Clients hold at most a third of the descriptors.
-    settings.most_open = settings.most_open.min(config.sockets as u32 / 3);
-    Ok(settings)
-}
-
 /// What this process may hold while it is the gateway's only one.
-fn whole(config: &Config, settings: &Settings) -> Held {
-    Held { sockets: config.sockets, memory: config.memory, open: settings.most_open as usize }
-}
-
-/// The configuration was read again: its settings hold from now on, or nothing has changed. Gives what is in force, and
-/// how many requests clients can hold open by it.
-fn reload(
-    new: Config,
-    old: &Config,
-    hold: Time,
-    now: Time,
-    facade: &Facade,
-    hosts: &Hosts,
-) -> Result<(Config, u32), String> {
-    let mut settings = settings(&new)?;
-    let carrying = carrying(&new, &settings.classes)?;
-    (settings.hold, settings.most_open) = (hold, settings.most_open.min(old.sockets as u32 / 3));
-    let open = settings.most_open;
-    let (connect, idle) = (new.info.connect_span(), new.info.idle_span());
-    facade.follow(now, settings, &carrying).map_err(|cause| format!("settings: {cause}"))?;
-    hosts.follow(connect, idle);
-    let unmoved = old.unmoved(&new);
-    if !unmoved.is_empty() {
-        log::warn!("only a start can follow the new {}", unmoved.join(", "));
-    }
-    // What only a start can follow stays as it was, to be named again by the next file.
-    Ok((old.with(new), open))
+fn whole(config: &Config, most_open: u32) -> Held {
+    Held { sockets: config.sockets, memory: config.memory, open: most_open as usize }
 }
 
 /// Whether a gateway that shares its socket should leave clients to the other process for now.
 fn hosts_are_missing(hosts: &Hosts, told: &Cell<bool>, clock: Clock, patience_until: Time) -> bool {
     clock.now() < patience_until && (hosts.named() == 0 || !told.get())
 }
-
-/// Steps the decisions when something came in or a timer is due.
-async fn keep_time(facade: Facade, clock: Clock) {
-    loop {
-        match facade.tick(clock.now()) {
-            Some(at) => tokio::select! {
-                () = clock.sleep_until(at) => {}
-                () = facade.woken() => {}
-            },
-            None => facade.woken().await,
-        }
-    }
-}
-
-async fn keep_clean(hosts: Rc<Hosts>, clock: Clock) {
-    loop {
-        let by = clock.now() + SWEEP;
-        while clock.now() < by {
-            clock.sleep_until(clock.now() + THIN_OUT).await;
-            hosts.thin_out();
-        }
-        hosts.sweep();
-    }
-}
--- /dev/null
+++ b/src/net/control.rs
@@ -0,0 +1,283 @@
+//! The control part of a gateway: its watch of discovery, its table of hosts, its decisions, and what gateways tell each
+//! other. It serves no client by itself. The program builds one and puts a front before it; the laboratory builds many
+//! in one process and gives each of them demand that nobody sent.
+
+use crate::facade::Facade;
+use crate::net::budget::Budget;
+use crate::net::clock::Clock;
+use crate::net::config::Config;
+use crate::net::counters::Counters;
+use crate::net::discovery::Follower;
+use crate::net::duties::Duties;
+use crate::net::host_names::HostNames;
+use crate::net::hosts::Hosts;
+use crate::net::peers::{DatagramSocket, Peers};
+use crate::net::read_buffer::ReadBuffer;
+use crate::net::share_out::{Demand, ShareOut};
+use crate::{Class, MemberId, Need, Settings, Time};
+use petrelgauge_lifecycle::backoff::Backoff;
+use petrelgauge_ownership::Office;
+use petrelgauge_sessions::{Keeper, SettingsError};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cell::Cell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// Between two looks for idle connections that are of no more use (microseconds).
+const SWEEP: Time = 500_000;
+/// Between two looks for clients that are too many (microseconds).
+const THIN_OUT: Time = 50_000;
+/// What a query waits here before it is read, the decisions before they are stepped, and a refusal before its client has
+/// it (microseconds): the 99th percentile of one of the three with the processor shared. More is no better: a client that
+/// is refused sooner has more time left than it is told to stay away, and comes back with nothing of it left.
+const WAY: Time = 3_000;
+
+/// The decisions of one gateway, before the first list.
+pub struct Decisions {
+    /// The decisions.
+    pub facade: Facade,
+    /// Requests that clients can hold open.
+    pub most_open: u32,
+    /// Longest that a read is held for a replica (microseconds).
+    pub hold: Time,
+    gateways: u32,
+    /// Where marks of other gateways are heard.
+    exchange: Option<SocketAddr>,
+}
+
+impl Decisions {
+    /// Those of this configuration. The cause of a failure is one plain sentence.
+    pub fn new(config: &Config, now: Time) -> Result<Decisions, String> {
+        let mut settings = settings(config)?;
+        let (sessions, exchange) = sessions(config, &settings.classes, now)?;
+        let hold = sessions.as_ref().map_or(0, |(keeper, _)| keeper.settings().hold);
+        settings.hold = hold;
+        let (most_open, gateways) = (settings.most_open, settings.routers);
+        let facade = Facade::with_sessions(settings, config.seed, sessions)
+            .map_err(|cause| format!("settings: {cause}"))?;
+        Ok(Decisions { facade, most_open, hold, gateways, exchange })
+    }
+}
+
+/// What the control part stands on.
+pub struct Environment {
+    /// The clock.
+    pub clock: Clock,
+    /// Descriptors and memory.
+    pub budget: Rc<Budget>,
+    /// What connections read into.
+    pub read_buffer: Rc<ReadBuffer>,
+    /// Counts.
+    pub counters: Rc<Counters>,
+    /// Requests that came for each group so far.
+    pub demand: Demand,
+    /// Numbers that another process of this gateway has given to hosts.
+    pub given: Vec<(String, MemberId)>,
+}
+
+/// The control part of one gateway.
+pub struct Control<S> {
+    /// The decisions.
+    pub facade: Facade,
+    /// The database hosts.
+    pub hosts: Rc<Hosts>,
+    /// This gateway's part in the fleet's duties, if they are switched on.
+    pub duties: Option<Rc<Duties>>,
+    /// The names and numbers of the hosts.
+    pub names: Rc<HostNames>,
+    /// Discovery has spoken since the start.
+    pub told: Rc<Cell<bool>>,
+    /// The revision of the list that is held.
+    pub revision: Rc<Cell<u64>>,
+    clock: Clock,
+    counters: Rc<Counters>,
+    follower: Option<Follower>,
+    peers: Option<Peers<S>>,
+}
+
+impl<S: DatagramSocket + 'static> Control<S> {
+    /// Builds it. `bind` gives the socket for datagrams between gateways; it is called only where some are exchanged.
+    pub async fn new<F: Future<Output = std::io::Result<S>>>(
+        config: &mut Config,
+        decisions: Decisions,
+        environment: Environment,
+        bind: impl FnOnce(SocketAddr) -> F,
+    ) -> Result<Control<S>, String> {
+        let Environment { clock, budget, read_buffer, counters, demand, given } = environment;
+        let Decisions { facade, gateways, exchange, .. } = decisions;
+        let (connect, idle) = (config.info.connect_span(), config.info.idle_span());
+        let hosts = Hosts::new(clock, budget, counters.clone(), read_buffer, connect, idle);
+        let backoff = Backoff::new(gateways, config.seed.rotate_left(32));
+        let known = config.known.take();
+        let follower =
+            Follower::new(facade.clone(), hosts.clone(), counters.clone(), clock, known, backoff, given);
+        let (told, names, revision) = (follower.told(), follower.names(), follower.revision());
+        let duties = duties(config, &facade, clock, &counters, &names, demand)?;
+        let listen = exchange.or(config.peer_listen.filter(|_| duties.is_some()));
+        let mut peers = None;
+        if let Some(listen) = listen {
+            let place = config.place().ok_or("peers: this gateway is none of them")?;
+            let socket = bind(listen).await;
+            let socket =
+                socket.map_err(|cause| format!("cannot listen to other instances at {listen}: {cause}"))?;
+            peers = Some(Peers::new(socket, place, config.peers.clone()));
+        }
+        let follower = Some(follower);
+        Ok(Control { facade, hosts, duties, names, told, revision, clock, counters, follower, peers })
+    }
+
+    /// Starts its tasks, none of which ends by itself. The watch is kept at the address that `discovery` names last.
+    pub fn start(&mut self, tasks: &mut JoinSet<()>, discovery: watch::Receiver<SocketAddr>) {
+        if let Some(follower) = self.follower.take() {
+            tasks.spawn_local(follower.follow(discovery));
+        }
+        tasks.spawn_local(keep_time(self.facade.clone(), self.clock));
+        tasks.spawn_local(keep_clean(self.hosts.clone(), self.clock));
+        if let Some(peers) = self.peers.take() {
+            let (facade, counters) = (self.facade.clone(), self.counters.clone());
+            tasks.spawn_local(peers.talk(facade, self.clock, counters, self.duties.clone()));
+        }
+    }
+
+    /// Entries of state that grow with the fleet: hosts, parts of limits, marks of other gateways.
+    pub fn entries(&self) -> usize {
+        let duties = self.duties.as_ref().map_or(0, |duties| duties.entries());
+        self.names.len() + duties + self.facade.session_entries()
+    }
+}
+
+/// A socket for datagrams between gateways.
+pub async fn bind_datagrams(listen: SocketAddr) -> std::io::Result<UdpSocket> {
+    UdpSocket::bind(listen).await
+}
+
+/// The configuration was read again: its settings hold from now on, or nothing has changed. Gives what is in force, and
+/// how many requests clients can hold open by it.
+pub fn reload(
+    new: Config,
+    old: &Config,
+    hold: Time,
+    now: Time,
+    facade: &Facade,
+    hosts: &Hosts,
+) -> Result<(Config, u32), String> {
+    let mut settings = settings(&new)?;
+    let carrying = carrying(&new, &settings.classes)?;
+    (settings.hold, settings.most_open) = (hold, settings.most_open.min(old.sockets as u32 / 3));
+    let open = settings.most_open;
+    let (connect, idle) = (new.info.connect_span(), new.info.idle_span());
+    facade.follow(now, settings, &carrying).map_err(|cause| format!("settings: {cause}"))?;
+    hosts.follow(connect, idle);
+    let unmoved = old.unmoved(&new);
+    if !unmoved.is_empty() {
+        log::warn!("only a start can follow the new {}", unmoved.join(", "));
+    }
+    // What only a start can follow stays as it was, to be named again by the next file.
+    Ok((old.with(new), open))
+}
+
+/// This gateway's part in the fleet's duties, if the operator has switched them on.
+fn duties(
+    config: &Config,
+    facade: &Facade,
+    clock: Clock,
+    counters: &Rc<Counters>,
+    names: &Rc<HostNames>,
+    demand: Demand,
+) -> Result<Option<Rc<Duties>>, String> {
+    let Some(set) = &config.operator.ownership else { return Ok(None) };
+    if config.peer_listen.is_none() {
+        return Err("ownership: the configuration names no peer_listen".into());
+    }
+    let me = config.place().ok_or("ownership: this gateway is none of the peers")?;
+    let settings = set.settings(me, config.peers.len())?;
+    let now = clock.now();
+    let office = Office::new(settings, now, config.seed).map_err(|cause| format!("ownership: {cause}"))?;
+    // A process that starts again must not take what was given to the one before it.
+    let drawn = Pcg64Mcg::seed_from_u64(config.seed ^ now as u64).next_u32();
+    let shares = set.shares.then(|| ShareOut::new(&office, drawn, facade.clone(), clock, demand));
+    let (facade, counters, names) = (facade.clone(), counters.clone(), names.clone());
+    Ok(Some(Duties::new(office, shares, set.scout, set.secret, facade, clock, counters, names)))
+}
+
+/// A keeper of sessions with the classes that carry them, and where marks of others are heard.
+type Kept = (Option<(Keeper, Vec<usize>)>, Option<SocketAddr>);
+
+/// The sessions that the operator has switched on, or else what the deployment asks for by itself: marks of this
+/// instance's own answers, since its start.
+fn sessions(config: &Config, classes: &[Class], now: Time) -> Result<Kept, String> {
+    let refused = |cause: SettingsError| format!("sessions: {cause}");
+    if let Some(set) = &config.operator.sessions {
+        let (places, mut settings) = (carrying(config, classes)?, set.settings.clone());
+        let mut exchange = None;
+        if set.peers {
+            let listen = config.peer_listen.ok_or("sessions: the configuration names no peer_listen")?;
+            let me = config.place().ok_or("sessions: this gateway is none of the peers")?;
+            (settings.me, settings.instances) = (me as u16, config.peers.len().min(u16::MAX.into()) as u16);
+            exchange = Some(listen);
+        }
+        return Ok((Some((Keeper::new(settings, now).map_err(refused)?, places)), exchange));
+    }
+    let places = carrying(config, classes)?;
+    if places.is_empty() {
+        return Ok((None, None));
+    }
+    let (positions, checks) = (config.info.tells_positions(), config.info.checks());
+    let told = petrelgauge_sessions::Settings { positions, checks, ..Default::default() };
+    let settings = petrelgauge_sessions::Settings { roams: false, tokens: false, ..told };
+    Ok((Some((Keeper::new(settings, 0).map_err(refused)?, places)), None))
+}
+
+/// Places of the classes that carry sessions: those that the operator names, or else those that the deployment asks
+/// for by itself.
+fn carrying(config: &Config, classes: &[Class]) -> Result<Vec<usize>, String> {
+    if let Some(set) = &config.operator.sessions {
+        return set.places(classes);
+    }
+    if !classes.iter().any(|class| class.need == Need::Session) || !config.info.remembers_sessions() {
+        return Ok(Vec::new());
+    }
+    let carrying = |place: &usize| matches!(classes[*place].need, Need::Write | Need::Session);
+    Ok((0..classes.len()).filter(carrying).collect())
+}
+
+/// The settings of a configuration, as this gateway keeps them.
+fn settings(config: &Config) -> Result<Settings, String> {
+    let mut settings = config.info.settings().map_err(|cause| format!("settings: {cause}"))?;
+    // The protocol has no probes, and the watch of discovery is always open.
+    settings.may_probe = false;
+    settings.list_on_request = false;
+    settings.way = WAY;
+    // Clients hold at most a third of the descriptors.
+    settings.most_open = settings.most_open.min(config.sockets as u32 / 3);
+    Ok(settings)
+}
+
+/// Steps the decisions when something came in or a timer is due.
+async fn keep_time(facade: Facade, clock: Clock) {
+    loop {
+        match facade.tick(clock.now()) {
+            Some(at) => tokio::select! {
+                () = clock.sleep_until(at) => {}
+                () = facade.woken() => {}
+            },
+            None => facade.woken().await,
+        }
+    }
+}
+
+async fn keep_clean(hosts: Rc<Hosts>, clock: Clock) {
+    loop {
+        let by = clock.now() + SWEEP;
+        while clock.now() < by {
+            clock.sleep_until(clock.now() + THIN_OUT).await;
+            hosts.thin_out();
+        }
+        hosts.sweep();
+    }
+}
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -44,6 +44,8 @@
     read_pauses,
     /// Statements that could not be used.
     bad_statements,
+    /// Load reports that made no sense.
+    bad_reports,
     /// Attempts handed out by the decisions.
     attempts,
     /// Attempts written whole to a database host.
@@ -64,6 +66,14 @@
     sheds,
     /// Datagrams to other instances.
     told,
+    /// Bytes of them.
+    told_bytes,
+    /// Datagrams of other instances.
+    heard,
+    /// Bytes of them.
+    heard_bytes,
+    /// Bytes that discovery's watch has brought.
+    list_bytes,
     /// Words of a scout that named a known member.
     words,
     /// Datagrams about duties that could not be used.
@@ -84,6 +94,11 @@
         self.0.set(self.0.get() + 1);
     }
 
+    /// So many more.
+    pub fn add_many(&self, more: usize) {
+        self.0.set(self.0.get() + more as u64);
+    }
+
     /// So many.
     pub fn get(&self) -> u64 {
         self.0.get()
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -3,6 +3,7 @@
 use crate::facade::Facade;
 use crate::net::clock::Clock;
 use crate::net::counters::Counters;
+use crate::net::host_names::HostNames;
 use crate::net::hosts::{Hosts, Site};
 pub use crate::net::lines::Lines;
 use crate::net::lines::{Text, REFUSED};
@@ -11,7 +12,7 @@
 use petrelgauge_lifecycle::backoff::{Backoff, Cause};
 use petrelgauge_lifecycle::watch::{Holding, AGAIN};
 use serde::Deserialize;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -87,8 +88,10 @@
     backoff: Backoff,
     /// It has spoken since the start.
     told: Rc<Cell<bool>>,
-    /// The numbers, for the next process.
-    named: Rc<RefCell<BTreeMap<String, MemberId>>>,
+    /// The names and numbers, for whoever else needs them.
+    names: Rc<HostNames>,
+    /// The revision that is held.
+    revision: Rc<Cell<u64>>,
 }
 
 /// A host that discovery named.
@@ -115,10 +118,22 @@
         let next = given.iter().map(|(_, id)| id.wrapping_add(1)).max().unwrap_or(0);
         let gone = Some(clock.now());
         let numbers = given.into_iter().map(|(name, id)| (name, Known { id, started: 0, gone })).collect();
-        let (holding, named) = (Holding::default(), Rc::default());
-        let told = Rc::default();
-        let mut follower =
-            Follower { facade, hosts, counters, clock, numbers, next, holding, backoff, told, named };
+        let (holding, names) = (Holding::default(), Rc::default());
+        let (told, revision) = (Rc::default(), Rc::default());
+        let mut follower = Follower {
+            facade,
+            hosts,
+            counters,
+            clock,
+            numbers,
+            next,
+            holding,
+            backoff,
+            told,
+            names,
+            revision,
+        };
+        follower.numbers.iter().for_each(|(name, known)| follower.names.insert(name, known.id));
         if let Some(list) = known {
             // Whatever it says of itself, it is all that is known: there is no older list to change.
             follower.start_from(List { complete: true, ..list });
@@ -135,9 +150,14 @@
         self.take(list);
     }
 
-    /// The number of each host, as it is now.
-    pub fn numbers(&self) -> Rc<RefCell<BTreeMap<String, MemberId>>> {
-        self.named.clone()
+    /// The names and numbers of the hosts, kept up.
+    pub fn names(&self) -> Rc<HostNames> {
+        self.names.clone()
+    }
+
+    /// The revision of the list that is held, kept up.
+    pub fn revision(&self) -> Rc<Cell<u64>> {
+        self.revision.clone()
     }
 
     /// Turns true once discovery has spoken.
@@ -197,6 +217,7 @@
                     continue;
                 }
             };
+            self.counters.list_bytes.add_many(std::mem::take(&mut answer.bytes));
             if answer.lines.began() {
                 self.backoff.worked();
             }
@@ -280,6 +301,7 @@
                 started: 0,
                 gone: None,
             });
+            self.names.insert(&row.id, known.id);
             let (id, started) = (known.id, row.started());
             known.started = started;
             self.next = next.max(id.wrapping_add(1));
@@ -321,9 +343,15 @@
             unnamed.for_each(|known| known.gone = known.gone.or(Some(now)));
         }
         // Hosts are replaced for as long as the gateway runs. One that comes back later is a new one.
-        self.numbers.retain(|_, known| known.gone.is_none_or(|gone| now - gone < REMEMBERED));
-        *self.named.borrow_mut() =
-            self.numbers.iter().map(|(name, known)| (name.clone(), known.id)).collect();
+        let names = &self.names;
+        self.numbers.retain(|name, known| {
+            let kept = known.gone.is_none_or(|gone| now - gone < REMEMBERED);
+            if !kept {
+                names.remove(name);
+            }
+            kept
+        });
+        self.revision.set(list.revision);
         log::debug!("list {}, {} entries, whole: {}", list.revision, entries.len(), list.complete);
         self.facade.list(list.complete, entries);
     }
--- a/src/net/duties.rs
+++ b/src/net/duties.rs
@@ -9,13 +9,13 @@
 use crate::facade::Facade;
 use crate::net::clock::Clock;
 use crate::net::counters::Counters;
+use crate::net::host_names::HostNames;
 use crate::net::share_out::{ShareOut, SHARES};
 use crate::{GroupId, MemberId, Time};
 use petrelgauge_ownership::{Duty, Gateway, Message, Office, Term, Word};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// The scout's duty.
 pub const SCOUT: Duty = Duty { kind: 1, group: 0 };
@@ -39,11 +39,13 @@
     /// Told apart from fleets with other electors or spans.
     fleet: u32,
     secret: u64,
+    /// Duties of this fleet.
+    wanted: Vec<Duty>,
     facade: Facade,
     clock: Clock,
     counters: Rc<Counters>,
-    /// The decisions' numbers for the list's names.
-    numbers: Rc<RefCell<BTreeMap<String, MemberId>>>,
+    /// The list's names and the decisions' numbers for them.
+    names: Rc<HostNames>,
     /// Leaders that were told, and when.
     told: RefCell<BTreeMap<GroupId, (MemberId, Time)>>,
     look_at: Cell<Time>,
@@ -55,25 +57,34 @@
 
 impl Duties {
     /// A part for this office.
+    #[allow(clippy::too_many_arguments)]
     pub fn new(
-        office: Office,
+        mut office: Office,
         shares: Option<ShareOut>,
+        scout: bool,
         secret: u64,
         facade: Facade,
         clock: Clock,
         counters: Rc<Counters>,
-        numbers: Rc<RefCell<BTreeMap<String, MemberId>>>,
+        names: Rc<HostNames>,
     ) -> Rc<Duties> {
         let fleet = office.settings().fingerprint();
+        let wanted = [(scout, SCOUT), (shares.is_some(), SHARES)];
+        let wanted: Vec<Duty> = wanted.iter().filter(|(on, _)| *on).map(|(_, duty)| *duty).collect();
+        if office.settings().electors.contains(&office.settings().me) {
+            // Electors are candidates too, and nobody else: so few ask, however many there are.
+            wanted.iter().for_each(|duty| office.want(clock.now(), *duty));
+        }
         Rc::new(Duties {
             office: RefCell::new(office),
             shares: shares.map(RefCell::new),
             fleet,
             secret,
+            wanted,
             facade,
             clock,
             counters,
-            numbers,
+            names,
             told: RefCell::default(),
             look_at: Cell::new(0),
             known: Cell::new(None),
@@ -139,6 +150,25 @@
         self.leaving.set(true);
     }
 
+    /// Duties that this gateway owns now.
+    pub fn owned(&self) -> usize {
+        let now = self.clock.now();
+        let office = self.office.borrow();
+        self.wanted.iter().filter(|duty| office.may(now, **duty).is_some()).count()
+    }
+
+    /// Duties whose owner it knows.
+    pub fn known_owners(&self) -> usize {
+        let now = self.clock.now();
+        let office = self.office.borrow();
+        self.wanted.iter().filter(|duty| office.owner(now, **duty).is_some()).count()
+    }
+
+    /// Entries of state, those of the share-out included.
+    pub fn entries(&self) -> usize {
+        self.told.borrow().len() + self.shares.as_ref().map_or(0, |shares| shares.borrow().entries())
+    }
+
     /// Counters, and who scouts.
     pub fn counts(&self) -> String {
         let (office, now) = (self.office.borrow(), self.clock.now());
@@ -177,15 +207,13 @@
 
     /// A scout says who leads. A member that the own list does not name is nobody.
     fn primary(&self, now: Time, member: u64, position: Time) {
-        let numbers = self.numbers.borrow();
-        let known = numbers.iter().find(|(name, _)| xxh3_64(name.as_bytes()) == member);
-        if let Some((_, id)) = known {
+        if let Some(id) = self.names.by_hash(member) {
             self.counters.words.add();
             // It need not be told back.
-            if let Some(group) = self.facade.group(*id) {
-                self.told.borrow_mut().insert(group, (*id, now));
+            if let Some(group) = self.facade.group(id) {
+                self.told.borrow_mut().insert(group, (id, now));
             }
-            self.facade.hearsay(now, *id, position);
+            self.facade.hearsay(now, id, position);
         }
     }
 
@@ -229,13 +257,11 @@
             told.clear();
             return Vec::new();
         };
-        let (numbers, mut parcels) = (self.numbers.borrow(), Vec::new());
+        let mut parcels = Vec::new();
         for (group, member, position) in self.facade.leaders().into_iter().take(MOST_TOLD) {
             let last = told.get(&group).copied();
             let known = last.is_some_and(|(last, at)| last == member && (scout != me || now - at < AGAIN));
-            let name = numbers.iter().find(|(_, id)| **id == member).map(|(name, _)| name);
-            let (false, Some(name)) = (known, name) else { continue };
-            let member_hash = xxh3_64(name.as_bytes());
+            let (false, Some(member_hash)) = (known, self.names.hash(member)) else { continue };
             if scout == me {
                 let word = Word::Primary { member: member_hash, position };
                 // Asked right before it goes out, for each of them.
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -4,11 +4,11 @@
 use crate::facade::Facade;
 use crate::net::budget::Budget;
 use crate::net::clock::Clock;
+use crate::net::host_names::HostNames;
 use crate::Time;
 use petrelgauge_handover::company::{Company, Held, PACE};
 use petrelgauge_handover::{mark, owner, Letter, LetterError, MOST_BYTES};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::fs;
 use std::io::Read;
 use std::net::SocketAddr;
@@ -93,13 +93,13 @@
         clock: Clock,
         facade: Facade,
         budget: Rc<Budget>,
-        numbers: Rc<RefCell<BTreeMap<String, u32>>>,
+        names: Rc<HostNames>,
         whole: Rc<Cell<Held>>,
     ) {
         let (mut before, mut most, mut failing) = (0, whole.get(), false);
         loop {
             let now = clock.now();
-            let numbers = numbers.borrow().iter().map(|(name, id)| (name.clone(), *id)).collect();
+            let numbers = names.all();
             let held = Held { open: facade.open(), ..budget.held() };
             let (desk, settings, beliefs) = (self.desk.clone(), self.settings.get(), facade.beliefs());
             let (owner, writer) = (desk.owner.clone(), desk.writer);
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -7,26 +7,43 @@
 use crate::net::duties::{Duties, Parcel};
 use crate::Time;
 use petrelgauge_sessions::MOST_BYTES;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
 
+/// A socket for datagrams between instances.
+pub trait DatagramSocket {
+    /// Sends one at once, or drops it.
+    fn send(&self, bytes: &[u8], to: SocketAddr);
+
+    /// Waits for one: its length. May be cancelled without loss.
+    fn receive(&self, bytes: &mut [u8]) -> impl Future<Output = std::io::Result<usize>>;
+}
+
+impl DatagramSocket for UdpSocket {
+    fn send(&self, bytes: &[u8], to: SocketAddr) {
+        let _ = self.try_send_to(bytes, to);
+    }
+
+    async fn receive(&self, bytes: &mut [u8]) -> std::io::Result<usize> {
+        Ok(self.recv_from(bytes).await?.0)
+    }
+}
+
 /// Where this instance hears the others, and where they hear it.
-pub struct Peers {
-    socket: UdpSocket,
+pub struct Peers<S> {
+    socket: S,
     /// One address for each, in the order of their numbers.
     all: Vec<SocketAddr>,
     /// This one's number.
     me: usize,
 }
 
-impl Peers {
-    /// Listens at this address, as the one of this number among all.
-    pub async fn new(listen: SocketAddr, me: usize, all: Vec<SocketAddr>) -> Result<Peers, String> {
-        let socket = UdpSocket::bind(listen).await;
-        let socket =
-            socket.map_err(|cause| format!("cannot listen to other instances at {listen}: {cause}"))?;
-        Ok(Peers { socket, all, me })
+impl<S: DatagramSocket> Peers<S> {
+    /// With this socket, as the one of this number among all.
+    pub fn new(socket: S, me: usize, all: Vec<SocketAddr>) -> Peers<S> {
+        Peers { socket, all, me }
     }
 
     /// Speaks and listens for as long as the gateway runs. A datagram that cannot be sent is lost like any other.
@@ -45,7 +62,8 @@
             for datagram in &told {
                 for (_, other) in self.all.iter().enumerate().filter(|(number, _)| *number != self.me) {
                     counters.told.add();
-                    let _ = self.socket.try_send_to(datagram, *other);
+                    counters.told_bytes.add_many(datagram.len());
+                    self.socket.send(datagram, *other);
                 }
             }
             let due = duties.iter().map(|duties| duties.due_at());
@@ -53,11 +71,13 @@
             tokio::select! {
                 biased;
                 () = clock.sleep_until(next) => {}
-                heard = self.socket.recv_from(&mut bytes) => {
-                    let Ok((length, _)) = heard else {
+                heard = self.socket.receive(&mut bytes) => {
+                    let Ok(length) = heard else {
                         // What another instance's machine says of a datagram to it: it is not up.
                         continue;
                     };
+                    counters.heard.add();
+                    counters.heard_bytes.add_many(length);
                     let cause = match &duties {
                         Some(duties) if Duties::is_for(&bytes[..length]) => {
                             let parcels = duties.hear(&bytes[..length]);
@@ -92,7 +112,8 @@
             // Only addresses of the configuration, and none that a datagram named.
             if let Some(address) = self.all.get(usize::from(to)) {
                 counters.told.add();
-                let _ = self.socket.try_send_to(&bytes, *address);
+                counters.told_bytes.add_many(bytes.len());
+                self.socket.send(&bytes, *address);
             }
         }
     }
--- a/src/net/share_out.rs
+++ b/src/net/share_out.rs
@@ -7,6 +7,7 @@
 use petrelgauge_ownership::shares::{Part, Pool, Rates};
 use petrelgauge_ownership::{Duty, Gateway, Message, Office, Word};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 /// The duty.
 pub const SHARES: Duty = Duty { kind: 2, group: 0 };
@@ -14,6 +15,9 @@
 /// Messages, each with whom it is for.
 type Sent = Vec<(Gateway, Message)>;
 
+/// Requests that came for each group so far.
+pub type Demand = Rc<dyn Fn() -> BTreeMap<GroupId, u64>>;
+
 /// What this gateway lends and is given, and, while it owns the duty, what it has to give.
 pub struct ShareOut {
     part: Part,
@@ -23,13 +27,14 @@
     told: BTreeMap<GroupId, Share>,
     facade: Facade,
     clock: Clock,
+    demand: Demand,
 }
 
 impl ShareOut {
     /// For a gateway that starts now. `number`: drawn, see [`Part::new`].
-    pub fn new(office: &Office, number: u32, facade: Facade, clock: Clock) -> ShareOut {
+    pub fn new(office: &Office, number: u32, facade: Facade, clock: Clock, demand: Demand) -> ShareOut {
         let part = Part::new(office.settings().clone(), clock.now(), number);
-        ShareOut { part, pool: None, rates: Rates::default(), told: BTreeMap::new(), facade, clock }
+        ShareOut { part, pool: None, rates: Rates::default(), told: BTreeMap::new(), facade, clock, demand }
     }
 
     /// When [`ShareOut::due`] is to be called at the latest, beside the looks of the duties.
@@ -40,7 +45,7 @@
     /// What is to be sent now.
     pub fn due(&mut self, office: &mut Office) -> Sent {
         let now = self.clock.now();
-        let asked = self.facade.asked();
+        let asked = (self.demand)();
         self.rates.see(now, &asked);
         let mut sent = self.open(now, office);
         let answers = self.part.due(now, &self.rates.told());
@@ -125,6 +130,11 @@
         self.told.retain(|_, share| now < share.until);
     }
 
+    /// Entries of state: of this gateway's parts, and of what it has to give.
+    pub fn entries(&self) -> usize {
+        self.part.groups().count() + self.pool.as_ref().map_or(0, Pool::entries)
+    }
+
     /// What there is to show: parts lent and given here, and, of the owner, lent to it and given by it, in thousandths of
     /// even parts.
     pub fn counts(&self) -> String {
--- a/src/net/source.rs
+++ b/src/net/source.rs
@@ -49,6 +49,8 @@
     partial: Texts,
     /// What is whole and was not taken.
     pub(super) texts: Vec<Text>,
+    /// Bytes that were read and not counted yet.
+    pub(super) bytes: usize,
     /// When the last line came.
     heard: Option<Time>,
 }
@@ -71,6 +73,7 @@
             count = stream.read(&mut bytes) => match count {
                 Ok(0) => over("discovery closed it", false),
                 Ok(count) => {
+                    self.bytes += count;
                     let (mut got, began) = (Vec::new(), self.lines.began());
                     let read = self.lines.feed(&bytes[..count], &mut got);
                     if !got.is_empty() || began != self.lines.began() {
