--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::facade::{Attempt, Outcome};
 use crate::net::budget::Hold;
+use crate::net::counters::Counters;
 use crate::net::flow::Flow;
 use crate::net::hosts::Hosts;
 use crate::net::link::Connection;
@@ -100,8 +101,8 @@
         // What a host said counts only if that is how the attempt ended.
         let reply = reply.filter(|_| told.end.is_answer());
         let outcome = match (&reply, &flow) {
-            (Some(reply), _) => outcome(told.end, &reply.told, now),
-            (None, Some(flow)) => outcome(told.end, flow.told(), now),
+            (Some(reply), _) => outcome(told.end, &reply.told, now, &self.counters),
+            (None, Some(flow)) => outcome(told.end, flow.told(), now, &self.counters),
             (None, None) => Outcome::silent(told.end.for_decisions()),
         };
         let owed = attempt.report(now, outcome);
@@ -271,7 +272,7 @@
 }
 
 /// What the decisions are told of an answered attempt.
-pub(super) fn outcome(end: End, told: &[(String, String)], now: Time) -> Outcome {
+pub(super) fn outcome(end: End, told: &[(String, String)], now: Time, counters: &Counters) -> Outcome {
     let mut outcome = Outcome::silent(end.for_decisions());
     outcome.unusable = end == End::Unusable;
     for (name, value) in told {
@@ -286,15 +287,24 @@
             "log_position" => {
                 outcome.position = value.parse().ok().and_then(|ms| verdict::position(ms, now));
             }
-            "pressure" => outcome.report = pressure(value),
+            "pressure" => match pressure(value, now) {
+                Some(report) => outcome.report = report,
+                None => counters.bad_reports.add(),
+            },
             _ => {}
         }
     }
     outcome
 }
 
-/// A load report: names and values, positions as Unix times in seconds.
-fn pressure(text: &str) -> Report {
-    let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
-    settings::report(0, pairs.filter_map(|(name, value)| Some((name.trim(), value.trim().parse().ok()?))))
+/// A load report: names and values, positions as Unix times in seconds. None if it makes no sense.
+fn pressure(text: &str, now: Time) -> Option<Report> {
+    let pair = |pair: &str| -> Option<(String, f64)> {
+        let (name, value) = pair.split_once('=')?;
+        let value = value.trim().parse::<f64>().ok().filter(|value| value.is_finite() && *value >= 0.0)?;
+        Some((name.trim().to_string(), value))
+    };
+    let pairs: Vec<(String, f64)> = text.split(',').map(pair).collect::<Option<_>>()?;
+    let report = settings::report(0, pairs.iter().map(|(name, value)| (name.as_str(), *value)));
+    verdict::report_can_be(&report, now).then_some(report)
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -139,7 +139,10 @@
         list_keys("", &file.settings, &mut keys);
         let mut hasher = DefaultHasher::new();
         file.settings.to_string().hash(&mut hasher);
-        let info = Info::deserialize(file.settings).map_err(|cause| format!("settings: {cause}"))?;
+        let mut unknown = Vec::new();
+        let info: Info = serde_ignored::deserialize(file.settings, |path| unknown.push(path.to_string()))
+            .map_err(|cause| format!("settings: {cause}"))?;
+        unknown.iter().for_each(|key| log::info!("settings: {key} is not known here and changes nothing"));
         let either = |name: &str, value: Option<String>, first: First| {
             let found = if first == First::File { value.or_else(|| var(name)) } else { var(name).or(value) };
             found.ok_or(format!("neither {name} nor the file says it"))
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -66,8 +66,7 @@
     #[serde(default)]
     group: String,
     idempotency: String,
-    #[serde(default)]
-    window_us: Time,
+    window_us: Option<Time>,
     #[serde(default)]
     late_share: f64,
     points: f64,
@@ -240,7 +239,7 @@
         "safe" => Effect::Safe,
         "unsafe" => Effect::Unsafe,
         "keyed" => Effect::Keyed {
-            window: class.window_us,
+            window: class.window_us.ok_or(format!("class {name:?} is keyed and names no window_us"))?,
             scope: match class.group.as_str() {
                 "all" => Scope::All,
                 "zone" => Scope::Zone,
