--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! | file | whose life | states |
 //! | --- | --- | --- |
-//! | `desk.rs` | requests and attempts before the decision module | open, ended; out, reported |
+//! | `request_table/` | requests and attempts before the decision module | open, ended; out, reported |
 //! | `read_ahead.rs` | what is read of a client ahead of the query that is being answered | reading, paused |
 //! | `client.rs` | a client's connection | opening, idle, asking, pausing, cut off, ended |
 //! | `request.rs` | a client's request at the front | waiting, out, ended |
@@ -39,7 +39,6 @@
 
 pub mod backoff;
 pub mod client;
-pub mod desk;
 pub mod ending;
 pub mod exchange;
 pub mod gateway;
@@ -47,6 +46,7 @@
 pub mod patience;
 pub mod read_ahead;
 pub mod request;
+pub mod request_table;
 pub mod rest;
 pub mod rules;
 pub mod verdict;
--- /dev/null
+++ b/crates/lifecycle/src/request_table/admission.rs
@@ -0,0 +1,137 @@
+//! What is taken in: requests, settings, lists.
+
+use super::*;
+use crate::rules::Full;
+
+/// The settings with all classes that are in use.
+pub(super) fn whole(settings: &Settings, rules: &Rules) -> Settings {
+    Settings { classes: rules.table().to_vec(), ..settings.clone() }
+}
+
+impl RequestTable {
+    /// Clients can hold so many requests open here from now on.
+    pub fn allow_open(&mut self, most: u32) {
+        self.settings.most_open = most;
+        // They were sound before, and the module makes nothing of this figure.
+        let _ = self.router.follow(whole(&self.settings, &self.rules));
+    }
+
+    /// The place of the class that a new request names, and the class; `keyed`: the request carries a key.
+    pub fn find(&self, now: Time, name: &str, keyed: bool) -> Option<(usize, Class)> {
+        let place = self.rules.find(now, name, keyed)?;
+        Some((place, self.rules.class(place).clone()))
+    }
+
+    /// The longest that clients of this class wait; see [`Rules::longest_wait`].
+    pub fn longest_wait(&self, now: Time, name: &str) -> Time {
+        self.rules.longest_wait(now, name)
+    }
+
+    /// Every request that is taken in from now on has its final answer by this time.
+    pub fn answer_by(&mut self, at: Time) {
+        self.settings.last = at;
+        // They were sound before, and the module makes nothing of this figure.
+        let _ = self.router.follow(whole(&self.settings, &self.rules));
+    }
+
+    /// The longest deadline of any class in force; shortly after a change, when others may not know of it, that of the
+    /// classes before it if that is shorter.
+    pub fn longest(&self, now: Time) -> Time {
+        let longest = |places: &[usize]| places.iter().map(|place| self.rules.class(*place).deadline).max();
+        let force = longest(self.rules.force()).unwrap_or(0);
+        longest(self.rules.before(now)).map_or(force, |before| before.min(force))
+    }
+
+    /// Counts the settings that were in force, from 1.
+    pub fn version(&self) -> u64 {
+        self.rules.version()
+    }
+
+    /// New settings hold from now on, for requests to come; those that are open, and their attempts, keep the classes
+    /// that they were admitted with. `carrying` are the places, in these settings, of classes that carry sessions.
+    /// What is wrong with them is said before anything has changed.
+    pub fn follow(&mut self, now: Time, mut settings: Settings, carrying: &[usize]) -> Result<(), NotTaken> {
+        settings.check().map_err(NotTaken::Unsound)?;
+        if self.keeper.is_none() && !carrying.is_empty() {
+            return Err(NotTaken::Sessions);
+        }
+        let out = self.out.values().map(|errand| errand.class);
+        let used = self.open.values().map(|open| open.class).chain(out).collect();
+        let mut rules = self.rules.clone();
+        let classes = std::mem::take(&mut settings.classes);
+        rules.follow(now, classes, &used).map_err(|Full| NotTaken::Full)?;
+        (settings.scout_every, settings.last) = (self.settings.scout_every, self.settings.last);
+        self.settings = settings;
+        self.granularity = self.settings.granularity;
+        self.router.follow(whole(&self.settings, &rules)).map_err(NotTaken::Unsound)?;
+        let still = |place: &usize| rules.table()[*place] == *self.rules.class(*place);
+        self.carrying.retain(|place| *place < rules.table().len() && still(place));
+        self.carrying.extend(carrying.iter().map(|place| rules.force()[*place]));
+        self.rules = rules;
+        Ok(())
+    }
+
+    /// Takes a request in: it is open from now on, under a name of its own. What clients call their requests may
+    /// come twice.
+    pub fn admit(&mut self, request: Request) -> RequestId {
+        let id: RequestId = self.next.to_string().into();
+        self.next += 1;
+        if self.groups.contains(&request.group) {
+            *self.asked.entry(request.group).or_default() += 1;
+        }
+        self.look(request.at);
+        let write = self.rules.class(request.class).need == Need::Write;
+        let watch = match (&mut self.keeper, request.session) {
+            (Some(keeper), Some(SessionRef { key, token })) => {
+                let floor = (!write).then(|| keeper.ask(request.at, key, token.as_ref()));
+                // Of a write that is out nobody knows here whether it was committed and answered.
+                let may_be_known = request.at - DEEMED;
+                let writes = |errand: &OutAttempt| errand.writes.is_some_and(|(written, _)| written == key);
+                let under_way = self.out.values().any(|out| writes(out) && out.at <= may_be_known);
+                let floor = floor.map(|floor| if under_way { floor.with_write(may_be_known) } else { floor });
+                if let (true, Some(token)) = (write, &token) {
+                    keeper.bring(request.at, key, token);
+                }
+                Some(SessionWatch { key, arrived: request.at, floor, before: None })
+            }
+            _ => None,
+        };
+        let needed = watch.as_ref().and_then(|watch| watch.floor).map(|floor| floor.need());
+        self.open.insert(id.clone(), Open { class: request.class, attempts: 0, ran_from: None, watch });
+        self.queue.push(Event::Request {
+            request: id.clone(),
+            class: request.class,
+            group: request.group,
+            time_left: request.until,
+            repeat: request.repeat,
+            floor: needed.max(request.after),
+        });
+        id
+    }
+
+    /// News of the list: whole, or only what changed.
+    pub fn list(&mut self, whole: bool, entries: Vec<Entry>) {
+        if whole {
+            self.groups.clear();
+            self.listed.clear();
+        }
+        self.groups.extend(entries.iter().map(|entry| entry.group));
+        if let Some(keeper) = &mut self.keeper {
+            self.groups.iter().for_each(|group| keeper.serve(*group));
+        }
+        for entry in &entries {
+            match entry.standing {
+                Standing::Gone => self.listed.remove(&entry.member),
+                Standing::Up | Standing::Draining => self.listed.insert(entry.member),
+            };
+        }
+        self.told.retain(|id, _| self.listed.contains(id));
+        self.asked.retain(|group, _| self.groups.contains(group));
+        self.queue.push(Event::List { whole, entries: entries.into() });
+    }
+
+    /// Whether the list may hold this group: it named it since it was last whole, or has named none so far.
+    pub fn may_serve(&self, group: GroupId) -> bool {
+        self.groups.is_empty() || self.groups.contains(&group)
+    }
+}
--- /dev/null
+++ b/crates/lifecycle/src/request_table/mod.rs
@@ -0,0 +1,192 @@
+//! The request table: requests come in, decisions go out, attempts are reported, and each request ends once.
+//!
+//! It stands between the decision module, which is stepped with batches of events, and whoever serves connections.
+//! What comes in is kept in order and handed over in batches, at most one per granularity.
+//!
+//! A request is **open** until it has its one end: served or unusable (by a report), refused or failed (by the
+//! module), or withdrawn (its client left). An attempt is **out** from its order until its report, also when its
+//! request has ended. A report tells whether its answer is owed to the client: only while the request is open, and
+//! never if the session of the request would find it too old.
+//!
+//! | file | concern |
+//! | --- | --- |
+//! | `types.rs` | requests, outcomes, orders, in no protocol's words |
+//! | `admission.rs` | what is taken in: requests, settings, lists |
+//! | `steps.rs` | the decisions' steps, and what they order |
+//! | `completion.rs` | reports, withdrawals, the one end of each request |
+//! | `sessions.rs` | what sessions are owed, and what gateways tell each other of them |
+
+mod admission;
+mod completion;
+mod sessions;
+mod steps;
+mod types;
+
+pub use types::{NotTaken, Order, Outcome, Request, Send, SessionRef};
+
+use crate::rules::Rules;
+use petrelgauge_policy::*;
+use petrelgauge_sessions::{Floor, Keeper, Key};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// All requests and attempts of a gateway. Bounded by what clients may hold open; an attempt stays until its report.
+#[derive(Clone, Debug)]
+pub struct RequestTable {
+    router: Router,
+    granularity: Time,
+    stepped_at: Time,
+    timer_at: Option<(Time, u64)>,
+    /// What came in since the last step, in order. A request's `time_left` is its end here, as a clock time;
+    /// an outcome's `took` is the span when it came in.
+    queue: Vec<Event>,
+    next: u64,
+    open: BTreeMap<RequestId, Open>,
+    out: BTreeMap<(RequestId, u32), OutAttempt>,
+    groups: BTreeSet<GroupId>,
+    /// Members that the list names.
+    listed: BTreeSet<MemberId>,
+    rules: Rules,
+    /// What holds beside the classes.
+    settings: Settings,
+    /// Places of classes that carry sessions.
+    carrying: BTreeSet<usize>,
+    keeper: Option<Keeper>,
+    /// Sessions whose writes were given up by their clients since the last look at the clock.
+    unsure: Vec<Key>,
+    /// Highest position that each listed member told.
+    told: BTreeMap<MemberId, Time>,
+    /// Requests that came for each listed group so far.
+    asked: BTreeMap<GroupId, u64>,
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    class: usize,
+    attempts: u32,
+    /// When the first attempt was ordered that may have run.
+    ran_from: Option<Time>,
+    watch: Option<SessionWatch>,
+}
+
+/// An attempt that is out.
+#[derive(Clone, Debug)]
+struct OutAttempt {
+    /// Place of its class.
+    class: usize,
+    /// When it was ordered.
+    at: Time,
+    /// The session that it writes for, and when its request came.
+    writes: Option<(Key, Time)>,
+}
+
+/// What is owed to the session of an open request.
+#[derive(Clone, Debug)]
+struct SessionWatch {
+    key: Key,
+    arrived: Time,
+    /// What a read must prove; none for a write.
+    floor: Option<Floor>,
+    /// What the member had told when the last attempt went out.
+    before: Option<Time>,
+}
+
+impl RequestTable {
+    /// A desk for these settings that keeps sessions for the classes of these places, if any. The seed is its only
+    /// source of chance.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        sessions: Option<(Keeper, Vec<usize>)>,
+    ) -> Result<RequestTable, SettingsError> {
+        let (keeper, places) = sessions.unzip();
+        let places = places.unwrap_or_default();
+        Ok(RequestTable {
+            granularity: settings.granularity,
+            rules: Rules::new(settings.classes.clone()),
+            carrying: places.into_iter().collect(),
+            settings: Settings { classes: Vec::new(), ..settings.clone() },
+            router: Router::new(settings, seed)?,
+            stepped_at: Time::MIN / 2,
+            timer_at: None,
+            queue: Vec::new(),
+            next: 0,
+            open: BTreeMap::new(),
+            out: BTreeMap::new(),
+            groups: BTreeSet::new(),
+            listed: BTreeSet::new(),
+            keeper,
+            unsure: Vec::new(),
+            told: BTreeMap::new(),
+            asked: BTreeMap::new(),
+        })
+    }
+
+    /// Requests without an end, and attempts without a report.
+    pub fn held(&self) -> (usize, usize) {
+        (self.open.len(), self.out.len())
+    }
+
+    /// Whether the request still waits for its end.
+    pub fn is_open(&self, request: &RequestId) -> bool {
+        self.open.contains_key(request)
+    }
+
+    /// Whether an attempt may still be written, as of now: its request waits for its end, and what it would read at its
+    /// member is known to be fresh enough where members do not check that for themselves.
+    pub fn may_go(&self, now: Time, send: &Send) -> bool {
+        self.is_open(&send.request) && self.router.is_fresh(now, &send.request, send.host)
+    }
+
+    /// Another gateway had an answer of this member as its group's primary. No word is of a time to come.
+    pub fn hearsay(&mut self, now: Time, member: MemberId, at: Time) {
+        if self.listed.contains(&member) {
+            self.queue.push(Event::Hearsay { member, at: at.min(now) });
+        }
+    }
+
+    /// Members of a group without a primary are tried so many times as rarely as usual from now on.
+    pub fn scout_every(&mut self, times: Time) {
+        self.settings.scout_every = times.max(1);
+        // They were sound before.
+        let _ = self.router.follow(admission::whole(&self.settings, &self.rules));
+    }
+
+    /// What this router may use of the limits of a group's members.
+    pub fn share(&mut self, group: GroupId, share: Share) {
+        if self.groups.contains(&group) {
+            self.queue.push(Event::Share(group, share));
+        }
+    }
+
+    /// Requests that came for each group that the list names.
+    pub fn asked(&self) -> BTreeMap<GroupId, u64> {
+        self.groups.iter().map(|group| (*group, self.asked.get(group).copied().unwrap_or(0))).collect()
+    }
+
+    /// The group of a member that the list names.
+    pub fn group(&self, member: MemberId) -> Option<GroupId> {
+        self.router.group_of(member)
+    }
+
+    /// Members taken for primaries, and since when by their own word.
+    pub fn leaders(&self) -> Vec<(GroupId, MemberId, Time)> {
+        self.router.leaders()
+    }
+
+    /// What the module has learned of the members so far.
+    pub fn beliefs(&self) -> Beliefs {
+        self.router.beliefs()
+    }
+
+    /// Starts from what another process has learned; to be called before the first list.
+    pub fn believe(&mut self, beliefs: Beliefs) {
+        self.router.believe(beliefs);
+    }
+
+    /// A member said this of itself after its attempt was reported: behind a row that was passed on as it came.
+    pub fn heard(&mut self, now: Time, host: MemberId, said: Outcome) {
+        let position = said.position.map(|position| position.min(now));
+        let report = Report { position, role: said.role, ..said.report };
+        self.queue.push(Event::Probed { member: host, ending: Ending::Served, report });
+    }
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -1,13 +1,13 @@
 //! The decisions in blocking style, for code that serves connections: ask, pick, report, tick.
 //!
-//! A [`Facade`] owns the [`Desk`]. A front admits a [`Request`] and gets a [`Ticket`]; [`Ticket::pick`] waits for the
+//! A [`Facade`] owns the [`RequestTable`]. A front admits a [`Request`] and gets a [`Ticket`]; [`Ticket::pick`] waits for the
 //! next [`Decision`]. A send comes with an [`Attempt`], which is reported once. Nothing in here knows of a protocol or
 //! of sockets, nothing in here decides, and nobody outside sees the module's events and actions.
 //!
 //! Whoever owns the facade calls [`Facade::tick`] at the time it names, or when [`Facade::woken`] returns.
 
-use petrelgauge_lifecycle::desk::{Desk, Order, Send};
-pub use petrelgauge_lifecycle::desk::{NotTaken, Outcome, Request, SessionRef};
+pub use petrelgauge_lifecycle::request_table::{NotTaken, Outcome, Request, SessionRef};
+use petrelgauge_lifecycle::request_table::{Order, RequestTable, Send};
 use petrelgauge_policy::*;
 use petrelgauge_sessions::{BulletinError, Counts, Keeper, Key, SessionTokens, Snapshot, TokenError};
 use std::cell::RefCell;
@@ -34,7 +34,7 @@
 pub struct Facade(Rc<Inner>);
 
 struct Inner {
-    desk: RefCell<Desk>,
+    table: RefCell<RequestTable>,
     /// Who waits for the decisions on a request, and for the calling off of an attempt.
     asking: RefCell<BTreeMap<RequestId, Inbox>>,
     callers: RefCell<BTreeMap<(RequestId, u32), oneshot::Sender<()>>>,
@@ -55,110 +55,110 @@
         seed: u64,
         sessions: Option<(Keeper, Vec<usize>)>,
     ) -> Result<Facade, SettingsError> {
-        let desk = RefCell::new(Desk::new(settings, seed, sessions)?);
+        let table = RefCell::new(RequestTable::new(settings, seed, sessions)?);
         let (asking, callers) = (RefCell::default(), RefCell::default());
-        Ok(Facade(Rc::new(Inner { desk, asking, callers, woken: Notify::new() })))
+        Ok(Facade(Rc::new(Inner { table, asking, callers, woken: Notify::new() })))
     }
 
-    /// New settings hold from now on; see [`Desk::follow`].
+    /// New settings hold from now on; see [`RequestTable::follow`].
     pub fn follow(&self, now: Time, settings: Settings, carrying: &[usize]) -> Result<(), NotTaken> {
-        self.0.desk.borrow_mut().follow(now, settings, carrying)?;
+        self.0.table.borrow_mut().follow(now, settings, carrying)?;
         self.0.woken.notify_one();
         Ok(())
     }
 
     /// Another gateway had an answer of this member as its group's primary.
     pub fn hearsay(&self, now: Time, member: MemberId, at: Time) {
-        self.0.desk.borrow_mut().hearsay(now, member, at);
+        self.0.table.borrow_mut().hearsay(now, member, at);
         self.0.woken.notify_one();
     }
 
     /// Members of a group without a primary are tried so many times as rarely as usual from now on.
     pub fn scout_every(&self, times: Time) {
-        self.0.desk.borrow_mut().scout_every(times);
+        self.0.table.borrow_mut().scout_every(times);
     }
 
     /// What this gateway may use of the limits of a group's members, from the next step on, which comes before whatever
     /// the caller does next has an effect elsewhere.
     pub fn share(&self, group: GroupId, share: Share) {
-        self.0.desk.borrow_mut().share(group, share);
+        self.0.table.borrow_mut().share(group, share);
         self.0.woken.notify_one();
     }
 
     /// Requests that came for each group that the list names.
     pub fn asked(&self) -> BTreeMap<GroupId, u64> {
-        self.0.desk.borrow().asked()
+        self.0.table.borrow().asked()
     }
 
     /// The group of a member that the list names.
     pub fn group(&self, member: MemberId) -> Option<GroupId> {
-        self.0.desk.borrow().group(member)
+        self.0.table.borrow().group(member)
     }
 
     /// Members taken for primaries, and when they last said so.
     pub fn leaders(&self) -> Vec<(GroupId, MemberId, Time)> {
-        self.0.desk.borrow().leaders()
+        self.0.table.borrow().leaders()
     }
 
     /// What the decisions have learned of the members so far.
     pub fn beliefs(&self) -> Beliefs {
-        self.0.desk.borrow().beliefs()
+        self.0.table.borrow().beliefs()
     }
 
     /// Starts from what another process has learned; to be called before the first list.
     pub fn believe(&self, beliefs: Beliefs) {
-        self.0.desk.borrow_mut().believe(beliefs);
+        self.0.table.borrow_mut().believe(beliefs);
     }
 
     /// Requests without an end.
     pub fn open(&self) -> usize {
-        self.0.desk.borrow().held().0
+        self.0.table.borrow().held().0
     }
 
     /// Clients can hold so many requests open here from now on.
     pub fn allow_open(&self, most: u32) {
-        self.0.desk.borrow_mut().allow_open(most);
+        self.0.table.borrow_mut().allow_open(most);
         self.0.woken.notify_one();
     }
 
-    /// The place of the class that a new request names, and the class; see [`Desk::find`].
+    /// The place of the class that a new request names, and the class; see [`RequestTable::find`].
     pub fn find(&self, now: Time, name: &str, keyed: bool) -> Option<(usize, Class)> {
-        self.0.desk.borrow().find(now, name, keyed)
+        self.0.table.borrow().find(now, name, keyed)
     }
 
-    /// The longest that clients of this class wait; see [`Desk::longest_wait`].
+    /// The longest that clients of this class wait; see [`RequestTable::longest_wait`].
     pub fn longest_wait(&self, now: Time, name: &str) -> Time {
-        self.0.desk.borrow().longest_wait(now, name)
+        self.0.table.borrow().longest_wait(now, name)
     }
 
     /// Every request that is taken in from now on has its final answer by this time.
     pub fn answer_by(&self, at: Time) {
-        self.0.desk.borrow_mut().answer_by(at);
+        self.0.table.borrow_mut().answer_by(at);
     }
 
-    /// The longest deadline of any class in force; see [`Desk::longest`].
+    /// The longest deadline of any class in force; see [`RequestTable::longest`].
     pub fn longest(&self, now: Time) -> Time {
-        self.0.desk.borrow().longest(now)
+        self.0.table.borrow().longest(now)
     }
 
     /// Counts the settings that were in force, from 1.
     pub fn version(&self) -> u64 {
-        self.0.desk.borrow().version()
+        self.0.table.borrow().version()
     }
 
     /// Whether requests of the class of this place carry sessions.
     pub fn carries(&self, class: usize) -> bool {
-        self.0.desk.borrow().carries(class)
+        self.0.table.borrow().carries(class)
     }
 
     /// Whether sessions are kept at all.
     pub fn keeps_sessions(&self) -> bool {
-        self.0.desk.borrow().keeps_sessions()
+        self.0.table.borrow().keeps_sessions()
     }
 
     /// Puts what a client set into its wallet.
     pub fn set_tokens(&self, wallet: &mut SessionTokens, text: &str) -> Result<(), TokenError> {
-        self.0.desk.borrow().set_tokens(wallet, text)
+        self.0.table.borrow().set_tokens(wallet, text)
     }
 
     /// The visit of a session, with what its client brought of it. An unusable token is an error.
@@ -169,45 +169,45 @@
         name: &str,
         tokens: &[&str],
     ) -> Result<Option<SessionRef>, TokenError> {
-        self.0.desk.borrow().visit(at, group, name, tokens)
+        self.0.table.borrow().visit(at, group, name, tokens)
     }
 
     /// The token that goes with an answer to this session, where clients carry tokens.
     pub fn token(&self, now: Time, key: Key) -> Option<String> {
-        self.0.desk.borrow().token(now, key)
+        self.0.table.borrow().token(now, key)
     }
 
     /// Entries about other gateways' sessions.
     pub fn session_entries(&self) -> usize {
-        self.0.desk.borrow().session_entries()
+        self.0.table.borrow().session_entries()
     }
 
     /// Counts of the sessions, if they are kept.
     pub fn session_counts(&self) -> Option<(Counts, u64)> {
-        self.0.desk.borrow().session_counts()
+        self.0.table.borrow().session_counts()
     }
 
     /// The marks of this moment, if sessions are kept.
     pub fn snapshot(&self, now: Time, clean: bool) -> Option<Snapshot> {
-        self.0.desk.borrow().snapshot(now, clean)
+        self.0.table.borrow().snapshot(now, clean)
     }
 
     /// A datagram of another instance came. Reads that wait may need less now.
     pub fn hear(&self, now: Time, bytes: &[u8]) -> Result<(), BulletinError> {
-        self.0.desk.borrow_mut().hear(now, bytes)?;
+        self.0.table.borrow_mut().hear(now, bytes)?;
         self.0.woken.notify_one();
         Ok(())
     }
 
     /// Datagrams for every other instance that are due now, and when to call again.
     pub fn tell(&self, now: Time) -> (Vec<Vec<u8>>, Option<Time>) {
-        self.0.desk.borrow_mut().tell(now)
+        self.0.table.borrow_mut().tell(now)
     }
 
     /// Takes a request in.
     pub fn admit(&self, request: Request) -> Ticket {
         let (decisions, inbox) = mpsc::unbounded_channel();
-        let id = self.0.desk.borrow_mut().admit(request);
+        let id = self.0.table.borrow_mut().admit(request);
         self.0.asking.borrow_mut().insert(id.clone(), decisions);
         self.0.woken.notify_one();
         Ticket { facade: self.clone(), id, inbox }
@@ -215,19 +215,19 @@
 
     /// News of the list: whole, or only what changed.
     pub fn list(&self, whole: bool, entries: Vec<Entry>) {
-        self.0.desk.borrow_mut().list(whole, entries);
+        self.0.table.borrow_mut().list(whole, entries);
         self.0.woken.notify_one();
     }
 
     /// A member said this of itself outside of an attempt's report.
     pub fn heard(&self, now: Time, host: MemberId, said: Outcome) {
-        self.0.desk.borrow_mut().heard(now, host, said);
+        self.0.table.borrow_mut().heard(now, host, said);
         self.0.woken.notify_one();
     }
 
     /// Whether the list may hold this group: it named it since it was last whole, or has named none so far.
     pub fn may_serve(&self, group: GroupId) -> bool {
-        self.0.desk.borrow().may_serve(group)
+        self.0.table.borrow().may_serve(group)
     }
 
     /// Waits until something came in that a step has not seen.
@@ -237,7 +237,7 @@
 
     /// Steps the decisions if it is time, and says when to call again at the latest.
     pub fn tick(&self, now: Time) -> Option<Time> {
-        let (orders, next) = self.0.desk.borrow_mut().tick(now);
+        let (orders, next) = self.0.table.borrow_mut().tick(now);
         orders.into_iter().for_each(|order| self.carry_out(order));
         next
     }
@@ -293,7 +293,7 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         self.facade.0.asking.borrow_mut().remove(&self.id);
-        self.facade.0.desk.borrow_mut().withdraw(&self.id);
+        self.facade.0.table.borrow_mut().withdraw(&self.id);
         // What is still in the inbox goes after this: that may be an attempt, which reports itself.
         self.facade.0.woken.notify_one();
     }
@@ -325,11 +325,11 @@
         self.off = true;
     }
 
-    /// Whether it may still be made, as of now: it has not been called off, and see [`Desk::may_go`].
+    /// Whether it may still be made, as of now: it has not been called off, and see [`RequestTable::may_go`].
     pub fn is_wanted(&mut self, now: Time) -> bool {
         // The word may lie there while nobody waits for it: the caller's own work goes first.
         self.off = self.off || self.called_off.try_recv().is_ok();
-        !self.off && self.facade.0.desk.borrow().may_go(now, &self.send)
+        !self.off && self.facade.0.table.borrow().may_go(now, &self.send)
     }
 
     /// Reports how the attempt ended. True if the member answered and its request is still open: then what the member
@@ -341,7 +341,7 @@
     fn tell(&mut self, now: Time, outcome: Outcome) -> bool {
         self.reported = true;
         self.facade.0.callers.borrow_mut().remove(&(self.send.request.clone(), self.send.attempt));
-        let owed = self.facade.0.desk.borrow_mut().report(now, &self.send, outcome);
+        let owed = self.facade.0.table.borrow_mut().report(now, &self.send, outcome);
         if owed {
             self.facade.0.asking.borrow_mut().remove(&self.send.request);
         }
