--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -268,6 +268,20 @@
     pub changes: f64,
 }
 
+impl Costs {
+    /// The same with the lesser processor time of the two, role by role.
+    pub fn with_least_cpu(self, other: Costs) -> Costs {
+        let least = |one: Cost, other: Cost| Cost { cpu_us: one.cpu_us.min(other.cpu_us), ..one };
+        Costs {
+            gateway: least(self.gateway, other.gateway),
+            owner: least(self.owner, other.owner),
+            real: least(self.real, other.real),
+            quiet: least(self.quiet, other.quiet),
+            ..self
+        }
+    }
+}
+
 impl Fleet {
     /// Starts everything and waits until every gateway holds a list.
     pub async fn start(plan: Plan) -> std::io::Result<Fleet> {
@@ -510,10 +524,9 @@
     }
 }
 
+/// Where clients reach a gateway: beside where other gateways do.
 fn client_address(number: usize) -> SocketAddr {
-    let mut address = of_gateway(number, 15_432);
-    address.set_port(15_432);
-    address
+    of_gateway(number, port() + 1)
 }
 
 fn write_files(plan: &Plan, folder: &Path, discovery: SocketAddr) -> std::io::Result<()> {
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `candidate.rs` | asking, owning, renewing, giving up |
 //! | `fence.rs` | the highest term seen of each duty |
 //! | `office.rs` | all of it for one gateway, with what is to be sent to whom |
+//! | `placement.rs` | shards of a duty, and which elector should own which |
 //! | `shares/` | a duty's own machines: parts of limits lent, given and back in time |
 //! | `message.rs` | datagrams of at most 256 bytes |
 //!
@@ -26,7 +27,7 @@
 //! or slower than the drift can bring two owners; their effects then still carry terms, of which the lower is turned
 //! away by all who know the higher.
 //!
-//! **Bounds.** [`MOST_DUTIES`] duties, [`MOST_ELECTORS`] electors; a datagram is at most [`MOST_BYTES`] long.
+//! **Bounds.** [`MOST_DUTIES`] duties, [`MOST_ELECTORS`] electors, [`MOST_SHARDS`] shards; a datagram is at most [`MOST_BYTES`] long.
 //!
 //! ```
 //! use petrelgauge_ownership::{Duty, Office, Settings};
@@ -56,14 +57,16 @@
 mod fence;
 mod message;
 mod office;
+mod placement;
 mod settings;
 pub mod shares;
 
 pub use candidate::{Candidate, Step};
 pub use elector::Elector;
 pub use fence::{Fence, Turned};
-pub use message::{Answer, Ask, Message, MessageError, Word, MOST_BYTES};
+pub use message::{Answer, Ask, Leader, Message, MessageError, Word, MOST_BYTES, MOST_LEADERS};
 pub use office::{Counts, Office};
+pub use placement::{shard_of, Placement, MOST_SHARDS};
 pub use settings::{Settings, SettingsError};
 
 use serde::{Deserialize, Serialize};
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -112,8 +112,25 @@
         /// Thousandths of an even part.
         given: Vec<(GroupId, Milli)>,
     },
+    /// Members answered as their groups' primaries.
+    Primaries {
+        /// The members; [`MOST_LEADERS`] at most.
+        leaders: Vec<Leader>,
+    },
+}
+
+/// A member that answered as its group's primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Leader {
+    /// The member, by the hash of its name on the list.
+    pub member: u64,
+    /// When it answered.
+    pub position: Time,
 }
 
+/// Leaders of one datagram (count): 10 bytes for each number at most.
+pub const MOST_LEADERS: usize = 10;
+
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Message {
@@ -144,6 +161,13 @@
         /// What it says, for each group.
         lines: Vec<Line>,
     },
+    /// A gateway to the owner of a shard: these members answered it as their groups' primaries.
+    FoundAll {
+        /// The members; [`MOST_LEADERS`] at most.
+        leaders: Vec<Leader>,
+    },
+    /// An elector to the others: it is there.
+    Heartbeat,
 }
 
 /// Why a datagram cannot be used.
--- a/crates/ownership/src/office.rs
+++ b/crates/ownership/src/office.rs
@@ -80,6 +80,22 @@
         }
     }
 
+    /// Whether this gateway wants the duty.
+    pub fn is_wanted(&self, duty: Duty) -> bool {
+        self.candidates.contains_key(&duty)
+    }
+
+    /// From now on it does not want the duty any more, and gives it up if it owns it.
+    pub fn unwant(&mut self, now: Time, duty: Duty) -> Sent {
+        let asked = self.candidates.remove(&duty).and_then(|mut one| one.give_up(now));
+        self.counts.lost += u64::from(asked.is_some());
+        let electors = self.settings.electors.iter();
+        asked
+            .into_iter()
+            .flat_map(|ask| electors.clone().map(move |to| (*to, Message::Ask(duty, ask))))
+            .collect()
+    }
+
     /// The term under which this gateway may act now. To be asked with the time read right before each effect.
     pub fn may(&self, now: Time, duty: Duty) -> Option<Term> {
         self.candidates.get(&duty)?.may(now)
@@ -147,7 +163,8 @@
                 }
             }
             // What it says is for whoever sees to the duty.
-            Message::Found { .. } | Message::Lines { .. } => {}
+            Message::Found { .. } | Message::FoundAll { .. } | Message::Lines { .. } | Message::Heartbeat => {
+            }
             Message::Turned(duty, term) => {
                 if let Some(one) = self.candidates.get_mut(&duty) {
                     one.outbid(term);
--- a/crates/ownership/src/settings.rs
+++ b/crates/ownership/src/settings.rs
@@ -80,6 +80,14 @@
         crc32c::crc32c(format!("{gateways} {electors:?} {lease} {drift} {delay}").as_bytes())
     }
 
+    /// The same of a fleet whose duties fall into so many shards.
+    pub fn sharded_fingerprint(&self, shards: u16) -> u32 {
+        match shards {
+            0 | 1 => self.fingerprint(),
+            shards => crc32c::crc32c_append(self.fingerprint(), &shards.to_be_bytes()),
+        }
+    }
+
     /// How many electors are a majority.
     pub fn majority(&self) -> usize {
         self.electors.len() / 2 + 1
--- a/crates/ownership/src/shares/mod.rs
+++ b/crates/ownership/src/shares/mod.rs
@@ -40,8 +40,14 @@
 pub const MOST_LENT: Milli = (1000.0 * (1.0 - petrelgauge_policy::Share::LEAST)) as Milli;
 /// Most that one is given beside its own: more than any fleet of this size can bring together.
 pub const MOST_GIVEN: Milli = 30_000;
-/// Lines of one datagram (count), so that the longest keeps to its bytes.
-pub const MOST_LINES: usize = 11;
+/// Bytes of lines of one datagram, beside its head.
+const LINE_BYTES: usize = 198;
+/// The longest line (bytes): a group, a rate, what is asked for.
+const LONGEST_LINE: usize = 18;
+/// Lines of one datagram at most (count): of the shortest ones.
+pub const MOST_LINES: usize = LINE_BYTES / 3;
+/// Lines that fit into one datagram however long they are (count).
+const LEAST_LINES: usize = LINE_BYTES / LONGEST_LINE;
 /// Groups that are shared out (count); the others keep even parts.
 pub const MOST_GROUPS: usize = 256;
 /// Rounds whose time an owner knows (count): answers to older ones lend nothing any more.
@@ -62,6 +68,25 @@
     pub asks: Milli,
 }
 
+/// Lines in pieces of one datagram each.
+fn pieces<T: Serialize + Clone>(lines: &[T]) -> Vec<Vec<T>> {
+    let mut pieces: Vec<Vec<T>> = Vec::new();
+    let mut left = 0;
+    for line in lines {
+        // A line that cannot be written is as long as any.
+        let bytes = postcard::to_allocvec(line).map_or(LONGEST_LINE, |bytes| bytes.len());
+        match pieces.last_mut().filter(|_| bytes <= left) {
+            Some(piece) => piece.push(line.clone()),
+            None => {
+                pieces.push(vec![line.clone()]);
+                left = LINE_BYTES;
+            }
+        }
+        left -= bytes.min(left);
+    }
+    pieces
+}
+
 /// Spans of the share-out (microseconds), all from the lease.
 impl Settings {
     /// How long a pledge binds, by the clock of whoever made it.
--- a/crates/ownership/src/shares/part.rs
+++ b/crates/ownership/src/shares/part.rs
@@ -1,6 +1,9 @@
 //! One gateway's part: what it has lent and what it was given, and for how long.
 
-use super::{Line, Milli, HEADROOM, MOST_GIVEN, MOST_GROUPS, MOST_LENT, MOST_LINES, MOST_RATE, MOST_ROUNDS};
+use super::{
+    pieces, Line, Milli, HEADROOM, LEAST_LINES, MOST_GIVEN, MOST_GROUPS, MOST_LENT, MOST_LINES, MOST_RATE,
+    MOST_ROUNDS,
+};
 use crate::{Settings, Term};
 use petrelgauge_policy::{mutant, GroupId, Mutant, Share, Time};
 use std::collections::{BTreeMap, VecDeque};
@@ -8,7 +11,7 @@
 /// Pledges and grants of a group that are remembered (count): more rounds than a pledge lives for.
 const MOST: usize = 16;
 /// Answers whose grants are still taken (count): those for all groups, of as many rounds as an owner knows.
-const MOST_ASKED: usize = MOST_ROUNDS * MOST_GROUPS.div_ceil(MOST_LINES);
+const MOST_ASKED: usize = MOST_ROUNDS * MOST_GROUPS.div_ceil(LEAST_LINES);
 
 #[derive(Clone, Copy, Debug)]
 struct Pledge {
@@ -115,15 +118,15 @@
                 Line { group: *group, rate, asks: self.asks(now, term, *group, rate, mean) }
             })
             .collect();
-        let numbered = |lines: &[Line]| {
+        let numbered = |lines: Vec<Line>| {
             self.number = self.number.wrapping_add(1);
             self.asked.push_back((self.number, now));
             if self.asked.len() > MOST_ASKED {
                 self.asked.pop_front();
             }
-            Answer { term, round, number: self.number, lines: lines.to_vec() }
+            Answer { term, round, number: self.number, lines }
         };
-        lines.chunks(MOST_LINES).map(numbered).collect()
+        pieces(&lines).into_iter().map(numbered).collect()
     }
 
     /// What is asked for a group, or lent, which is promised here and now.
--- a/crates/ownership/src/shares/pool.rs
+++ b/crates/ownership/src/shares/pool.rs
@@ -1,6 +1,6 @@
 //! What the owner of the share-out has: who lent it what and until when, and whom it gave.
 
-use super::{Line, Milli, MOST_GROUPS, MOST_LINES, MOST_ROUNDS};
+use super::{pieces, Line, Milli, MOST_GROUPS, MOST_LINES, MOST_ROUNDS};
 use crate::{Gateway, Settings, Term};
 use petrelgauge_policy::{mutant, GroupId, Mutant, Time};
 use std::collections::{BTreeMap, VecDeque};
@@ -16,6 +16,8 @@
     rate: u32,
     asks: Milli,
     heard: Time,
+    /// What it counts for in [`Group::used`].
+    counted: i64,
 }
 
 impl Member {
@@ -38,6 +40,13 @@
 #[derive(Clone, Debug, Default)]
 struct Group {
     members: BTreeMap<Gateway, Member>,
+    /// Sums of what was lent for one round each, by when it ends; of [`MOST_ROUNDS`] rounds. The largest that still holds
+    /// is no more than what is lent, and is known without a look at every member.
+    lent: VecDeque<(Time, i64)>,
+    /// What all members may be using: exact at the beginning of a round, never less until the next.
+    used: i64,
+    /// The last end of all that was given.
+    last_end: Time,
     /// Which part of what is asked for there is (fraction), as of the last round.
     ratio: f64,
 }
@@ -89,11 +98,12 @@
             let (count, sum) = (heard().count() as u64, heard().map(|m| u64::from(m.rate)).sum::<u64>());
             let asked: i64 = heard().map(|member| i64::from(member.asks.max(0))).sum();
             let lent: i64 = group.members.values().map(|member| member.lent(horizon)).sum();
+            group.recount(now);
             group.ratio = if asked > 0 { (lent as f64 / asked as f64).min(1.0) } else { 0.0 };
             means.push((*id, (sum / count.max(1)) as u32));
         }
         self.groups.retain(|_, group| !group.members.is_empty());
-        let pieces: Vec<Vec<_>> = means.chunks(MOST_LINES).map(<[_]>::to_vec).collect();
+        let pieces = pieces(&means);
         (self.round, if pieces.is_empty() { vec![Vec::new()] } else { pieces })
     }
 
@@ -113,17 +123,22 @@
             let member = state.members.entry(from).or_default();
             (member.rate, member.asks, member.heard) = (*rate, *asks, now);
             if *asks < 0 {
-                keep(&mut member.lent, (asks.saturating_neg().min(super::MOST_LENT), lent_until));
+                // A copy of what was counted already adds nothing.
+                if !member.lent.iter().any(|(_, end)| *end == lent_until) {
+                    let amount = asks.saturating_neg().min(super::MOST_LENT);
+                    keep(&mut member.lent, (amount, lent_until));
+                    state.add_lent(lent_until, amount);
+                }
                 continue;
             }
             let fair = (f64::from(*asks) * state.ratio) as i64;
             let gives = self.settings.grant_counted();
             let end =
                 now + if mutant(Mutant::GrantUncounted) { self.settings.grant_life() / 4 } else { gives };
-            let amount = state.room(now, from, end).min(fair);
+            let amount = state.room(from, end).min(fair);
             if amount > 0 {
                 let amount = amount.min(i64::from(super::MOST_GIVEN)) as Milli;
-                state.members.entry(from).or_default().given.push_back((amount, end));
+                state.add_given(from, amount, end);
                 given.push((*group, amount));
             }
         }
@@ -145,19 +160,47 @@
 impl Group {
     /// What this gateway can be given up to `end`. Counted as though all that is in use now were up to the last end of
     /// any of it, when the least is still lent.
-    fn room(&self, now: Time, to: Gateway, end: Time) -> i64 {
-        let others = || self.members.iter().filter(|(id, _)| **id != to).map(|(_, member)| member);
-        let ends = self.members.values().flat_map(|member| member.given.iter().map(|(_, end)| *end));
-        let last = ends.chain([end]).max().unwrap_or(end);
-        let lent: i64 = self.members.values().map(|member| member.lent(last)).sum();
-        let used: i64 = others().map(|member| member.given(now)).sum();
-        let before = self.members.get(&to).map_or(0, |member| member.given(now));
+    fn room(&self, to: Gateway, end: Time) -> i64 {
+        let last = self.last_end.max(end);
+        let lent =
+            self.lent.iter().filter(|(until, _)| *until >= last).map(|(_, sum)| *sum).max().unwrap_or(0);
+        let before = self.members.get(&to).map_or(0, |member| member.counted);
         let full = self.members.get(&to).is_some_and(|member| member.given.len() >= MOST);
         // What it was given before may still be in use, and counts if it is more.
-        if lent < used + before || full {
+        if lent < self.used || full {
             return 0;
         }
-        lent - used
+        lent - (self.used - before)
+    }
+
+    fn add_lent(&mut self, until: Time, amount: Milli) {
+        match self.lent.iter_mut().find(|(end, _)| *end == until) {
+            Some((_, sum)) => *sum += i64::from(amount),
+            None => {
+                self.lent.push_back((until, i64::from(amount)));
+                if self.lent.len() > MOST_ROUNDS {
+                    self.lent.pop_front();
+                }
+            }
+        }
+    }
+
+    fn add_given(&mut self, to: Gateway, amount: Milli, end: Time) {
+        let member = self.members.entry(to).or_default();
+        member.given.push_back((amount, end));
+        let counted = member.counted.max(i64::from(amount));
+        self.used += counted - member.counted;
+        member.counted = counted;
+        self.last_end = self.last_end.max(end);
+    }
+
+    /// What is given has run out in parts since the last round.
+    fn recount(&mut self, now: Time) {
+        for member in self.members.values_mut() {
+            member.counted = member.given(now);
+        }
+        self.used = self.members.values().map(|member| member.counted).sum();
+        self.lent.retain(|(until, _)| now <= *until);
     }
 }
 
--- a/deploy/petrelgauge.cue
+++ b/deploy/petrelgauge.cue
@@ -11,4 +11,5 @@
 //     secret: "9f3c5a7e21d04b68"
 //     electors: 3
 //     duties: ["scout", "shares"]
+//     shards: 1  // of each duty; in fleets of hundreds as many as electors, see docs/operate/ownership.md
 // }
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -8,7 +8,7 @@
 use crate::net::config::Config;
 use crate::net::counters::Counters;
 use crate::net::discovery::Follower;
-use crate::net::duties::Duties;
+use crate::net::duties::{Duties, Plan};
 use crate::net::host_names::HostNames;
 use crate::net::hosts::Hosts;
 use crate::net::peers::{DatagramSocket, Peers};
@@ -200,9 +200,10 @@
     let office = Office::new(settings, now, config.seed).map_err(|cause| format!("ownership: {cause}"))?;
     // A process that starts again must not take what was given to the one before it.
     let drawn = Pcg64Mcg::seed_from_u64(config.seed ^ now as u64).next_u32();
-    let shares = set.shares.then(|| ShareOut::new(&office, drawn, facade.clone(), clock, demand));
+    let shares = set.shares.then(|| ShareOut::new(&office, set.shards, drawn, facade.clone(), clock, demand));
     let (facade, counters, names) = (facade.clone(), counters.clone(), names.clone());
-    Ok(Some(Duties::new(office, shares, set.scout, set.secret, facade, clock, counters, names)))
+    let plan = Plan { scout: set.scout, shards: set.shards, secret: set.secret };
+    Ok(Some(Duties::new(office, shares, plan, facade, clock, counters, names)))
 }
 
 /// A keeper of sessions with the classes that carry them, and where marks of others are heard.
--- a/src/net/duties.rs
+++ b/src/net/duties.rs
@@ -4,96 +4,122 @@
 //! The **scout** tells all others which member answered as its group's primary; whoever has such an
 //! answer tells the scout. While one is known, all others try members of a group without a primary more rarely, the more
 //! gateways there are: together they try about as often as one alone would. The **share-out** is carried by
-//! `share_out.rs`.
+//! `share_out.rs`. Each duty can fall into **shards**, one owner for each; then electors tell each other by heartbeats
+//! who is there, and leaders are told many at a time.
 
 use crate::facade::Facade;
 use crate::net::clock::Clock;
 use crate::net::counters::Counters;
 use crate::net::host_names::HostNames;
+use crate::net::leaders::Leaders;
 use crate::net::share_out::{ShareOut, SHARES};
 use crate::{GroupId, MemberId, Time};
-use petrelgauge_ownership::{Duty, Gateway, Message, Office, Term, Word};
+use petrelgauge_ownership::{
+    shard_of, Duty, Gateway, Leader, Message, Office, Placement, Term, Word, MOST_LEADERS,
+};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// The scout's duty.
-pub const SCOUT: Duty = Duty { kind: 1, group: 0 };
+/// The kind of the scout's duty; each shard is a duty of its own.
+pub const SCOUT: u8 = 1;
 /// While another scouts, attempts of this gateway's own are half as many times as rare as there are gateways, and so many at
 /// most: with none of the others' words arriving, a write still finds its primary within seconds.
 const RAREST: Time = 64;
-/// A leader that was told is told again after this span (microseconds): datagrams get lost, gateways start.
-const AGAIN: Time = 1_000_000;
 /// Between two looks at who leads (microseconds).
 const LOOK: Time = 50_000;
-/// Groups whose leaders are told at a time (count).
+/// Groups whose leaders are told at a time (count), where each is told by itself.
 const MOST_TOLD: usize = 64;
 
 /// Bytes for a gateway, by its place among the peers.
 pub type Parcel = (Gateway, Vec<u8>);
+/// Messages, each with whom it is for.
+type Sent = Vec<(Gateway, Message)>;
+/// A leader as the decisions know it: its group, the member, and when it answered.
+type Answered = (GroupId, MemberId, Time);
+
+/// Which duties there are.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Somebody scouts.
+    pub scout: bool,
+    /// Shards of each duty.
+    pub shards: u16,
+    /// The same at all gateways.
+    pub secret: u64,
+}
 
 /// This gateway's part.
 pub struct Duties {
     office: RefCell<Office>,
     shares: Option<RefCell<ShareOut>>,
-    /// Told apart from fleets with other electors or spans.
+    /// Which shards this gateway should own: of an elector, where there are several.
+    placement: Option<RefCell<Placement>>,
+    plan: Plan,
+    /// Told apart from fleets with other electors, spans or shards.
     fleet: u32,
-    secret: u64,
-    /// Duties of this fleet.
-    wanted: Vec<Duty>,
+    /// All duties of this fleet.
+    duties: Vec<Duty>,
     facade: Facade,
     clock: Clock,
     counters: Rc<Counters>,
     /// The list's names and the decisions' numbers for them.
     names: Rc<HostNames>,
-    /// Leaders that were told, and when.
-    told: RefCell<BTreeMap<GroupId, (MemberId, Time)>>,
+    leaders: RefCell<Leaders>,
     look_at: Cell<Time>,
-    /// Who was known to scout, for the log.
-    known: Cell<Option<(Gateway, Term)>>,
+    /// Who was known to scout, for each shard.
+    scouts: RefCell<Vec<Option<(Gateway, Term)>>>,
     failing: Cell<bool>,
     leaving: Cell<bool>,
 }
 
+fn scout(shard: u16) -> Duty {
+    Duty { kind: SCOUT, group: u64::from(shard) }
+}
+
 impl Duties {
     /// A part for this office.
-    #[allow(clippy::too_many_arguments)]
     pub fn new(
         mut office: Office,
         shares: Option<ShareOut>,
-        scout: bool,
-        secret: u64,
+        plan: Plan,
         facade: Facade,
         clock: Clock,
         counters: Rc<Counters>,
         names: Rc<HostNames>,
     ) -> Rc<Duties> {
-        let fleet = office.settings().fingerprint();
-        let wanted = [(scout, SCOUT), (shares.is_some(), SHARES)];
-        let wanted: Vec<Duty> = wanted.iter().filter(|(on, _)| *on).map(|(_, duty)| *duty).collect();
-        if office.settings().electors.contains(&office.settings().me) {
+        let fleet = office.settings().sharded_fingerprint(plan.shards);
+        let kinds = [(plan.scout, SCOUT), (shares.is_some(), SHARES)];
+        let kinds = kinds.into_iter().filter(|(on, _)| *on);
+        let of_kind = |(_, kind)| (0..u64::from(plan.shards)).map(move |group| Duty { kind, group });
+        let duties: Vec<Duty> = kinds.flat_map(of_kind).collect();
+        let now = clock.now();
+        let settings = office.settings().clone();
+        let elects = settings.electors.contains(&settings.me);
+        let placement = (elects && plan.shards > 1).then(|| Placement::new(&settings, plan.shards, now));
+        if elects && placement.is_none() {
             // Electors are candidates too, and nobody else: so few ask, however many there are.
-            wanted.iter().for_each(|duty| office.want(clock.now(), *duty));
+            duties.iter().for_each(|duty| office.want(now, *duty));
         }
         Rc::new(Duties {
             office: RefCell::new(office),
             shares: shares.map(RefCell::new),
+            placement: placement.map(RefCell::new),
+            plan,
             fleet,
-            secret,
-            wanted,
+            duties,
             facade,
             clock,
             counters,
             names,
-            told: RefCell::default(),
+            leaders: RefCell::default(),
             look_at: Cell::new(0),
-            known: Cell::new(None),
+            scouts: RefCell::new(vec![None; usize::from(plan.shards)]),
             failing: Cell::new(false),
             leaving: Cell::new(false),
         })
     }
 
-    /// Whether these bytes are for this room.
+    /// Whether these bytes are about duties.
     pub fn is_for(bytes: &[u8]) -> bool {
         Message::is_one(bytes)
     }
@@ -101,7 +127,8 @@
     /// When [`Duties::due`] is to be called at the latest.
     pub fn due_at(&self) -> Time {
         let shares = self.shares.as_ref().and_then(|shares| shares.borrow().due_at());
-        let due = self.office.borrow().due_at().into_iter().chain(shares).min();
+        let heartbeat = self.placement.as_ref().map(|placement| placement.borrow().due_at());
+        let due = self.office.borrow().due_at().into_iter().chain(shares).chain(heartbeat).min();
         due.map_or(self.look_at.get(), |due| due.min(self.look_at.get()))
     }
 
@@ -113,7 +140,8 @@
             let sent = self.office.borrow_mut().give_up(now);
             return self.post(sent);
         }
-        let sent = self.office.borrow_mut().due(now);
+        let mut sent = self.place(now);
+        sent.extend(self.office.borrow_mut().due(now));
         let mut parcels = self.post(sent);
         if now >= self.look_at.get() {
             self.look_at.set(now + LOOK);
@@ -127,11 +155,34 @@
         parcels
     }
 
+    /// Heartbeats, and what this elector wants from now on or gives up.
+    fn place(&self, now: Time) -> Sent {
+        let Some(placement) = &self.placement else { return Vec::new() };
+        let (mut placement, mut office) = (placement.borrow_mut(), self.office.borrow_mut());
+        let mut sent: Sent =
+            placement.heartbeat(now).into_iter().map(|to| (to, Message::Heartbeat)).collect();
+        for duty in &self.duties {
+            let shard = duty.group as u16;
+            let (wants, yields) = (placement.wants(now, shard), placement.yields(now, shard));
+            match (office.is_wanted(*duty), office.may(now, *duty).is_some()) {
+                (false, _) if wants && !yields => office.want(now, *duty),
+                // One that it owns it keeps until an earlier one has come to stay.
+                (true, true) if yields => sent.extend(office.unwant(now, *duty)),
+                (true, false) if !wants => sent.extend(office.unwant(now, *duty)),
+                _ => {}
+            }
+        }
+        sent
+    }
+
     /// A datagram came; gives what is to be sent in answer.
     pub fn hear(&self, bytes: &[u8]) -> Vec<Parcel> {
-        match Message::read(bytes, self.fleet, self.secret) {
+        match Message::read(bytes, self.fleet, self.plan.secret) {
             Ok((from, message)) => {
                 self.failing.set(false);
+                if let Some(placement) = &self.placement {
+                    placement.borrow_mut().heard(self.clock.now(), from);
+                }
                 let sent = self.take(from, message);
                 self.post(sent)
             }
@@ -154,33 +205,37 @@
     pub fn owned(&self) -> usize {
         let now = self.clock.now();
         let office = self.office.borrow();
-        self.wanted.iter().filter(|duty| office.may(now, **duty).is_some()).count()
+        self.duties.iter().filter(|duty| office.may(now, **duty).is_some()).count()
     }
 
     /// Duties whose owner it knows.
     pub fn known_owners(&self) -> usize {
         let now = self.clock.now();
         let office = self.office.borrow();
-        self.wanted.iter().filter(|duty| office.owner(now, **duty).is_some()).count()
+        self.duties.iter().filter(|duty| office.owner(now, **duty).is_some()).count()
     }
 
     /// Entries of state, those of the share-out included.
     pub fn entries(&self) -> usize {
-        self.told.borrow().len() + self.shares.as_ref().map_or(0, |shares| shares.borrow().entries())
+        self.leaders.borrow().len() + self.shares.as_ref().map_or(0, |shares| shares.borrow().entries())
     }
 
     /// Counters, and who scouts.
     pub fn counts(&self) -> String {
         let (office, now) = (self.office.borrow(), self.clock.now());
-        let owner = match office.owner(now, SCOUT) {
+        let owner = match office.owner(now, scout(0)) {
             Some((who, term)) => format!("{who} term={term}"),
             None => "nobody".to_string(),
         };
         let shares = self.shares.as_ref().map(|shares| format!(" {}", shares.borrow().counts()));
-        format!("{} scout={owner}{}", office.counts(), shares.unwrap_or_default())
+        let (owned, known) = (self.owned(), self.known_owners());
+        let of = self.duties.len();
+        let counts = office.counts();
+        let shares = shares.unwrap_or_default();
+        format!("{counts} duties_owned={owned} duties_known={known} duties={of} scout={owner}{shares}")
     }
 
-    fn take(&self, from: Gateway, message: Message) -> Vec<(Gateway, Message)> {
+    fn take(&self, from: Gateway, message: Message) -> Sent {
         let now = self.clock.now();
         let taken = match &message {
             Message::Word(duty, term, _) => self.office.borrow().takes(*duty, *term),
@@ -188,11 +243,17 @@
         };
         let mut sent = Vec::new();
         match &message {
-            Message::Word(SCOUT, _, Word::Primary { member, position }) if taken => {
-                self.primary(now, *member, *position)
+            Message::Word(Duty { kind: SCOUT, .. }, _, Word::Primary { member, position }) if taken => {
+                self.primary(now, Leader { member: *member, position: *position })
+            }
+            Message::Word(Duty { kind: SCOUT, .. }, _, Word::Primaries { leaders }) if taken => {
+                leaders.iter().for_each(|leader| self.primary(now, *leader));
+            }
+            Message::Found { member, position } => {
+                self.primary(now, Leader { member: *member, position: *position })
             }
-            Message::Found { member, position } => self.primary(now, *member, *position),
-            Message::Word(SHARES, ..) | Message::Lines { .. } if taken => {
+            Message::FoundAll { leaders } => leaders.iter().for_each(|leader| self.primary(now, *leader)),
+            Message::Word(Duty { kind: SHARES, .. }, ..) | Message::Lines { .. } if taken => {
                 let mut office = self.office.borrow_mut();
                 let shares = self.shares.as_ref().filter(|_| from < office.settings().gateways);
                 sent.extend(
@@ -205,45 +266,54 @@
         sent
     }
 
-    /// A scout says who leads. A member that the own list does not name is nobody.
-    fn primary(&self, now: Time, member: u64, position: Time) {
-        if let Some(id) = self.names.by_hash(member) {
+    /// Somebody says who leads. A member that the own list does not name is nobody.
+    fn primary(&self, now: Time, leader: Leader) {
+        if let Some(id) = self.names.by_hash(leader.member) {
             self.counters.words.add();
             // It need not be told back.
             if let Some(group) = self.facade.group(id) {
-                self.told.borrow_mut().insert(group, (id, now));
+                self.leaders.borrow_mut().insert(now, group, id);
             }
-            self.facade.hearsay(now, id, position);
+            self.facade.hearsay(now, id, leader.position);
         }
     }
 
     /// Messages as datagrams. What is for this gateway itself is heard at once.
-    fn post(&self, sent: Vec<(Gateway, Message)>) -> Vec<Parcel> {
+    fn post(&self, sent: Sent) -> Vec<Parcel> {
         let me = self.office.borrow().settings().me;
         let (mut left, mut parcels) = (sent, Vec::new());
         while let Some((to, message)) = left.pop() {
             if to == me {
                 left.extend(self.take(me, message));
             } else {
-                parcels.push((to, message.write(me, self.fleet, self.secret)));
+                parcels.push((to, message.write(me, self.fleet, self.plan.secret)));
             }
         }
         parcels
     }
 
-    /// Looks who scouts, and scouts rarely if it is another.
+    /// Looks who scouts, and scouts rarely if others do for all groups.
     fn look(&self, now: Time) {
         let office = self.office.borrow();
-        let owner = office.owner(now, SCOUT);
-        let before = self.known.replace(owner);
-        if owner == before {
+        let known: Vec<Option<(Gateway, Term)>> =
+            (0..self.plan.shards).map(|shard| office.owner(now, scout(shard))).collect();
+        let before = self.scouts.replace(known.clone());
+        if known == before {
             return;
         }
-        let other = owner.is_some_and(|(who, _)| who != office.settings().me);
+        // Whoever owns a shard next has to be told anew.
+        let has_none = |group| known[usize::from(shard_of(group, self.plan.shards))].is_none();
+        self.leaders.borrow_mut().forget(has_none);
+        let me = office.settings().me;
+        let others = known.iter().all(|owner| owner.is_some_and(|(who, _)| who != me || known.len() > 1));
         let gateways = Time::from(office.settings().gateways);
-        self.facade.scout_every(if other { (gateways / 2).clamp(1, RAREST) } else { 1 });
-        match owner {
-            Some((who, term)) => log::info!("gateway {who} scouts under term {term}"),
+        self.facade.scout_every(if others { (gateways / 2).clamp(1, RAREST) } else { 1 });
+        match known.iter().flatten().next() {
+            Some((who, term)) if known.len() == 1 => log::info!("gateway {who} scouts under term {term}"),
+            Some(_) if known.iter().all(Option::is_some) => {
+                log::info!("all {} shards have a scout", known.len())
+            }
+            Some(_) => log::info!("some shards have no scout; each tries members by itself"),
             None => log::info!("nobody is known to scout; each tries members by itself"),
         }
     }
@@ -251,28 +321,61 @@
     /// What there is to say of who leads: the scout to all, what is new and what was told a while ago; another to the
     /// scout, what is new.
     fn tell(&self, now: Time) -> Vec<Parcel> {
-        let (mut office, mut told) = (self.office.borrow_mut(), self.told.borrow_mut());
+        let leaders = self.facade.leaders();
+        let mut parcels = Vec::new();
+        for shard in 0..self.plan.shards {
+            let Some((owner, _)) = self.office.borrow().owner(now, scout(shard)) else { continue };
+            let in_shard = leaders.iter().filter(|(group, ..)| shard_of(*group, self.plan.shards) == shard);
+            let due = self.due_leaders(now, in_shard, owner);
+            parcels.extend(self.write_leaders(shard, owner, &due));
+        }
+        parcels
+    }
+
+    /// Leaders that the scout of their shard has to tell, or has to be told of. They count as told from now on.
+    fn due_leaders<'a>(
+        &self,
+        now: Time,
+        leaders: impl Iterator<Item = &'a Answered>,
+        owner: Gateway,
+    ) -> Vec<Leader> {
+        let again = owner == self.office.borrow().settings().me;
+        let most = if self.plan.shards == 1 { MOST_TOLD } else { usize::MAX };
+        let mut told = self.leaders.borrow_mut();
+        let mut due = Vec::new();
+        for (group, member, position) in leaders.take(most) {
+            let Some(hash) = self.names.hash(*member) else { continue };
+            if told.is_due(now, *group, *member, again) {
+                told.insert(now, *group, *member);
+                due.push(Leader { member: hash, position: *position });
+            }
+        }
+        due
+    }
+
+    fn write_leaders(&self, shard: u16, owner: Gateway, leaders: &[Leader]) -> Vec<Parcel> {
+        let mut office = self.office.borrow_mut();
         let (me, gateways) = (office.settings().me, office.settings().gateways);
-        let Some((scout, _)) = office.owner(now, SCOUT) else {
-            told.clear();
-            return Vec::new();
-        };
+        let single = self.plan.shards == 1;
         let mut parcels = Vec::new();
-        for (group, member, position) in self.facade.leaders().into_iter().take(MOST_TOLD) {
-            let last = told.get(&group).copied();
-            let known = last.is_some_and(|(last, at)| last == member && (scout != me || now - at < AGAIN));
-            let (false, Some(member_hash)) = (known, self.names.hash(member)) else { continue };
-            if scout == me {
-                let word = Word::Primary { member: member_hash, position };
-                // Asked right before it goes out, for each of them.
-                let Some(message) = office.word(self.clock.now(), SCOUT, word) else { break };
-                let bytes = message.write(me, self.fleet, self.secret);
-                parcels.extend((0..gateways).filter(|to| *to != me).map(|to| (to, bytes.clone())));
-            } else {
-                let found = Message::Found { member: member_hash, position };
-                parcels.push((scout, found.write(me, self.fleet, self.secret)));
+        for piece in leaders.chunks(if single { 1 } else { MOST_LEADERS }) {
+            let Leader { member, position } = piece[0];
+            if owner != me {
+                let found = match single {
+                    true => Message::Found { member, position },
+                    false => Message::FoundAll { leaders: piece.to_vec() },
+                };
+                parcels.push((owner, found.write(me, self.fleet, self.plan.secret)));
+                continue;
             }
-            told.insert(group, (member, now));
+            let word = match single {
+                true => Word::Primary { member, position },
+                false => Word::Primaries { leaders: piece.to_vec() },
+            };
+            // Asked right before it goes out, for each of them.
+            let Some(message) = office.word(self.clock.now(), scout(shard), word) else { break };
+            let bytes = message.write(me, self.fleet, self.plan.secret);
+            parcels.extend((0..gateways).filter(|to| *to != me).map(|to| (to, bytes.clone())));
         }
         parcels
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,6 +20,7 @@
 pub mod host_names;
 pub mod hosts;
 pub mod inherited;
+mod leaders;
 pub mod lines;
 mod link;
 pub mod ops;
--- a/src/net/share_out.rs
+++ b/src/net/share_out.rs
@@ -1,16 +1,16 @@
-//! The share-out of limits, as one gateway carries it: what its part and its pool say goes out, and the decisions are
-//! told of it first. What is lent, given and back in time stands in `petrelgauge_ownership::shares`.
+//! The share-out of limits, as one gateway carries it: what its part and its pool of each shard say goes out, and the
+//! decisions are told of it first. What is lent, given and back in time stands in `petrelgauge_ownership::shares`.
 
 use crate::facade::Facade;
 use crate::net::clock::Clock;
 use crate::{GroupId, Share, Time};
-use petrelgauge_ownership::shares::{Part, Pool, Rates};
-use petrelgauge_ownership::{Duty, Gateway, Message, Office, Word};
+use petrelgauge_ownership::shares::{Answer, Line, Part, Pool, Rates};
+use petrelgauge_ownership::{shard_of, Duty, Gateway, Message, Office, Term, Word};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// The duty.
-pub const SHARES: Duty = Duty { kind: 2, group: 0 };
+/// The kind of its duty; each shard is a duty of its own.
+pub const SHARES: u8 = 2;
 
 /// Messages, each with whom it is for.
 type Sent = Vec<(Gateway, Message)>;
@@ -18,10 +18,15 @@
 /// Requests that came for each group so far.
 pub type Demand = Rc<dyn Fn() -> BTreeMap<GroupId, u64>>;
 
-/// What this gateway lends and is given, and, while it owns the duty, what it has to give.
-pub struct ShareOut {
+/// One shard: this gateway's part in its groups and, while it owns the shard, what it has to give.
+struct Shard {
     part: Part,
     pool: Option<Pool>,
+}
+
+/// What this gateway lends and is given, and, while it owns shards of the duty, what it has to give.
+pub struct ShareOut {
+    shards: Vec<Shard>,
     rates: Rates,
     /// What the decisions were told, where that is not the even part.
     told: BTreeMap<GroupId, Share>,
@@ -30,55 +35,82 @@
     demand: Demand,
 }
 
+fn duty(shard: usize) -> Duty {
+    Duty { kind: SHARES, group: shard as u64 }
+}
+
 impl ShareOut {
-    /// For a gateway that starts now. `number`: drawn, see [`Part::new`].
-    pub fn new(office: &Office, number: u32, facade: Facade, clock: Clock, demand: Demand) -> ShareOut {
-        let part = Part::new(office.settings().clone(), clock.now(), number);
-        ShareOut { part, pool: None, rates: Rates::default(), told: BTreeMap::new(), facade, clock, demand }
+    /// For a gateway that starts now, with so many shards. `number`: drawn, see [`Part::new`].
+    pub fn new(
+        office: &Office,
+        shards: u16,
+        number: u32,
+        facade: Facade,
+        clock: Clock,
+        demand: Demand,
+    ) -> ShareOut {
+        let part = || Part::new(office.settings().clone(), clock.now(), number);
+        let shards = (0..shards.max(1)).map(|_| Shard { part: part(), pool: None }).collect();
+        ShareOut { shards, rates: Rates::default(), told: BTreeMap::new(), facade, clock, demand }
+    }
+
+    fn shard_of(&self, group: GroupId) -> usize {
+        usize::from(shard_of(group, self.shards.len() as u16))
     }
 
     /// When [`ShareOut::due`] is to be called at the latest, beside the looks of the duties.
     pub fn due_at(&self) -> Option<Time> {
-        self.part.due_at()
+        self.shards.iter().filter_map(|shard| shard.part.due_at()).min()
     }
 
     /// What is to be sent now.
     pub fn due(&mut self, office: &mut Office) -> Sent {
         let now = self.clock.now();
+        let mut sent = Vec::new();
+        for shard in 0..self.shards.len() {
+            sent.extend(self.open(now, shard, office));
+        }
+        if self.due_at().is_none_or(|due| now < due) {
+            return sent;
+        }
         let asked = (self.demand)();
         self.rates.see(now, &asked);
-        let mut sent = self.open(now, office);
-        let answers = self.part.due(now, &self.rates.told());
+        let mut rates: Vec<BTreeMap<GroupId, u32>> = vec![BTreeMap::new(); self.shards.len()];
+        for (group, rate) in self.rates.told() {
+            rates[self.shard_of(group)].insert(group, rate);
+        }
+        let mut answers: Vec<(usize, Answer)> = Vec::new();
+        for (place, (shard, rates)) in self.shards.iter_mut().zip(&rates).enumerate() {
+            answers.extend(shard.part.due(now, rates).into_iter().map(|answer| (place, answer)));
+        }
+        // What was promised holds from here on, before anybody hears of it.
         self.tell(now, asked.keys().copied());
-        for answer in answers {
+        for (shard, answer) in answers {
             // An owner that is none any more counts on nothing. What was promised to it holds all the same.
-            let owner = office.owner(now, SHARES).filter(|(_, term)| *term == answer.term);
-            let petrelgauge_ownership::shares::Answer { term, round, number, lines } = answer;
+            let owner = office.owner(now, duty(shard)).filter(|(_, term)| *term == answer.term);
+            let Answer { term, round, number, lines } = answer;
             sent.extend(owner.map(|(owner, _)| (owner, Message::Lines { term, round, number, lines })));
         }
         sent
     }
 
-    /// A round is due, where this gateway owns the duty.
-    fn open(&mut self, now: Time, office: &mut Office) -> Sent {
-        let Some(term) = office.may(now, SHARES) else {
-            self.pool = None;
+    /// A round of this shard is due, where this gateway owns it.
+    fn open(&mut self, now: Time, shard: usize, office: &mut Office) -> Sent {
+        let pool = &mut self.shards[shard].pool;
+        let Some(term) = office.may(now, duty(shard)) else {
+            *pool = None;
             return Vec::new();
         };
         let settings = office.settings().clone();
-        let pool = match self.pool.take().filter(|pool| pool.term() == term) {
-            Some(pool) => pool,
-            None => Pool::new(settings.clone(), term),
-        };
-        let pool = self.pool.insert(pool);
-        if now < pool.due_at() {
-            return Vec::new();
+        if pool.as_ref().is_none_or(|pool| pool.term() != term) {
+            *pool = Some(Pool::new(settings.clone(), term));
         }
+        let Some(pool) = pool.as_mut().filter(|pool| now >= pool.due_at()) else { return Vec::new() };
         let (round, pieces) = pool.open(now);
         let mut sent = Vec::new();
         for means in pieces {
             // Asked right before it goes out, for each of them.
-            let word = office.word(self.clock.now(), SHARES, Word::Round { round, means });
+            let word = office.word(self.clock.now(), duty(shard), Word::Round { round, means });
             let Some(word) = word else { break };
             sent.extend((0..settings.gateways).map(|to| (to, word.clone())));
         }
@@ -89,34 +121,52 @@
     pub fn hear(&mut self, from: Gateway, message: &Message, office: &mut Office) -> Sent {
         let now = self.clock.now();
         match message {
-            Message::Word(SHARES, term, Word::Round { round, means }) => {
-                self.part.hear_round(now, *term, *round, means);
+            Message::Word(Duty { kind: SHARES, group }, term, Word::Round { round, means }) => {
+                if let Some(shard) = self.shards.get_mut(*group as usize) {
+                    shard.part.hear_round(now, *term, *round, means);
+                }
                 Vec::new()
             }
-            Message::Word(SHARES, _, Word::Grant { number, given }) => {
-                self.part.hear_grant(now, *number, given);
+            Message::Word(Duty { kind: SHARES, group }, _, Word::Grant { number, given }) => {
+                if let Some(shard) = self.shards.get_mut(*group as usize) {
+                    shard.part.hear_grant(now, *number, given);
+                }
                 self.tell(now, given.iter().map(|(group, _)| *group));
                 Vec::new()
             }
             Message::Lines { term, round, number, lines } => {
-                let pool = self.pool.as_mut().filter(|pool| pool.term() == *term);
-                let Some(pool) = pool.filter(|_| office.still(now, SHARES, *term)) else { return Vec::new() };
-                let given = pool.hear(now, from, *round, lines);
-                if given.is_empty() {
-                    return Vec::new();
-                }
-                let grant = Word::Grant { number: *number, given };
-                let word = office.word(self.clock.now(), SHARES, grant);
-                word.into_iter().map(|word| (from, word)).collect()
+                self.give(now, from, (*term, *round, *number), lines, office)
             }
             _ => Vec::new(),
         }
     }
 
+    /// What a gateway is given for these lines, all of which are of one shard.
+    fn give(
+        &mut self,
+        now: Time,
+        from: Gateway,
+        (term, round, number): (Term, u32, u32),
+        lines: &[Line],
+        office: &mut Office,
+    ) -> Sent {
+        let Some(shard) = lines.first().map(|line| self.shard_of(line.group)) else { return Vec::new() };
+        let lines: Vec<Line> =
+            lines.iter().copied().filter(|line| self.shard_of(line.group) == shard).collect();
+        let pool = self.shards[shard].pool.as_mut().filter(|pool| pool.term() == term);
+        let Some(pool) = pool.filter(|_| office.still(now, duty(shard), term)) else { return Vec::new() };
+        let given = pool.hear(now, from, round, &lines);
+        if given.is_empty() {
+            return Vec::new();
+        }
+        let word = office.word(self.clock.now(), duty(shard), Word::Grant { number, given });
+        word.into_iter().map(|word| (from, word)).collect()
+    }
+
     /// Tells the decisions what may be used of these groups, where that is new.
     fn tell(&mut self, now: Time, groups: impl Iterator<Item = GroupId>) {
         for group in groups {
-            let share = self.part.share(now, group);
+            let share = self.shards[self.shard_of(group)].part.share(now, group);
             let known = self.told.get(&group).copied().unwrap_or_default();
             if share == known {
                 continue;
@@ -132,19 +182,30 @@
 
     /// Entries of state: of this gateway's parts, and of what it has to give.
     pub fn entries(&self) -> usize {
-        self.part.groups().count() + self.pool.as_ref().map_or(0, Pool::entries)
+        let pools = self.shards.iter().filter_map(|shard| shard.pool.as_ref());
+        let parts = self.shards.iter().map(|shard| shard.part.groups().count());
+        parts.sum::<usize>() + pools.map(Pool::entries).sum::<usize>()
     }
 
     /// What there is to show: parts lent and given here, and, of the owner, lent to it and given by it, in thousandths of
     /// even parts.
     pub fn counts(&self) -> String {
         let now = self.clock.now();
-        let extras =
-            || self.part.groups().map(|group| (self.part.share(now, group).extra * 1000.0).round() as i64);
+        let extra = |shard: &Shard, group| (shard.part.share(now, group).extra * 1000.0).round() as i64;
+        let extras = || {
+            let shards = self.shards.iter();
+            shards.flat_map(move |shard| shard.part.groups().map(move |group| extra(shard, group)))
+        };
         let lent = -extras().filter(|extra| *extra < 0).sum::<i64>();
         let given: i64 = extras().filter(|extra| *extra > 0).sum();
-        let pool = self.pool.as_ref().map(|pool| pool.sums(now));
-        let pool = pool.map(|(lent, given)| format!(" pool_lent={lent} pool_given={given}"));
-        format!("share_lent={lent} share_given={given}{}", pool.unwrap_or_default())
+        let sums: Vec<(i64, i64)> =
+            self.shards.iter().filter_map(|shard| Some(shard.pool.as_ref()?.sums(now))).collect();
+        let pool_lent: i64 = sums.iter().map(|(lent, _)| lent).sum();
+        let pool_given: i64 = sums.iter().map(|(_, given)| given).sum();
+        let pool = match sums.is_empty() {
+            true => String::new(),
+            false => format!(" pool_lent={pool_lent} pool_given={pool_given}"),
+        };
+        format!("share_lent={lent} share_given={given}{pool}")
     }
 }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,7 +1,7 @@
 //! The operator's file: what is switched on beside the platform's settings. Without one nothing is.
 
 use crate::{Class, Need, Time};
-use petrelgauge_ownership::Settings as Spans;
+use petrelgauge_ownership::{Settings as Spans, MOST_SHARDS};
 use petrelgauge_records::{Record, RecordError};
 use petrelgauge_sessions::{Promise, Settings, Told};
 
@@ -38,6 +38,8 @@
     pub secret: u64,
     /// Electors bid for the scout's duty.
     pub scout: bool,
+    /// Shards that each duty falls into, so that many owners share its work.
+    pub shards: u16,
     /// This gateway takes part in the share-out of limits, and electors bid for that duty.
     pub shares: bool,
 }
@@ -151,6 +153,10 @@
         ..spans.clone()
     };
     stand_in.check().map_err(|cause| record.error(format!("ownership: {cause}")))?;
+    let shards = record.count("shards")?.unwrap_or(1);
+    if !(1..=u64::from(MOST_SHARDS)).contains(&shards) {
+        return Err(record.error(format!("ownership: shards are from 1 to {MOST_SHARDS}")));
+    }
     let duties = record.texts("duties")?.unwrap_or_else(|| vec!["scout".into()]);
     if let Some(other) = duties.iter().find(|name| !["scout", "shares"].contains(&name.as_str())) {
         return Err(record.error(format!("duties are \"scout\" and \"shares\", not {other:?}")));
@@ -160,5 +166,5 @@
         return Err(record.error("ownership: shares need a lower drift, or a lease of more delays"));
     }
     record.end()?;
-    Ok(Ownership { electors, spans, secret, scout, shares })
+    Ok(Ownership { electors, spans, secret, scout, shards: shards as u16, shares })
 }
--- /dev/null
+++ b/tests/sharded_duties.rs
@@ -0,0 +1,191 @@
+//! Duties in shards: five processes of the program, three of them electors, with a path of its own between each two of
+//! them, over which datagrams get lost, one way or both. Owners are killed, stand still, and are cut off with their region.
+
+mod stage;
+use stage::*;
+use std::collections::BTreeSet;
+use std::net::UdpSocket;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+const GATEWAYS: usize = 5;
+/// Places of the electors among five peers.
+const ELECTORS: [usize; 3] = [0, 1, 3];
+/// Two kinds of duties in six shards each.
+const DUTIES: u64 = 12;
+/// Each elector's fair part.
+const EACH: u64 = 4;
+const FILE: &str = "ownership: {\n  secret: \"5e\"\n  electors: 3\n  lease: 800ms\n  delay: 40ms\n  drift_percent: 1\n  duties: [\"scout\", \"shares\"]\n  shards: 6\n}\n";
+const LEASE: Duration = Duration::from_millis(800);
+
+/// The paths between gateways.
+#[derive(Clone, Default)]
+struct Links {
+    /// From whom to whom nothing passes.
+    cut: Arc<Mutex<BTreeSet<(usize, usize)>>>,
+    /// How many of a thousand datagrams are lost.
+    lost: Arc<AtomicU64>,
+}
+
+impl Links {
+    /// Opens the path from one gateway to another: where the first has to send.
+    fn open(&self, ip: &str, link: (usize, usize), to: String) -> String {
+        let socket = UdpSocket::bind((ip, 0)).expect("a free port");
+        let address = socket.local_addr().expect("an address").to_string();
+        let links = self.clone();
+        std::thread::spawn(move || {
+            let (mut bytes, mut drawn) = ([0; 300], link.0 as u64 * 31 + link.1 as u64);
+            loop {
+                // A gateway that is down answers for itself; that is no reason to end.
+                let Ok((count, _)) = socket.recv_from(&mut bytes) else { continue };
+                drawn = drawn.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+                let lost = (drawn >> 33) % 1_000 < links.lost.load(Ordering::Relaxed);
+                if !lost && !links.cut.lock().expect("no one panicked").contains(&link) {
+                    let _ = socket.send_to(&bytes[..count], &to);
+                }
+            }
+        });
+        address
+    }
+
+    /// Nothing passes from any of these to any of those.
+    fn cut(&self, from: &[usize], to: &[usize]) {
+        let links = from.iter().flat_map(|from| to.iter().map(|to| (*from, *to)));
+        self.cut.lock().expect("no one panicked").extend(links);
+    }
+
+    fn join(&self) {
+        self.cut.lock().expect("no one panicked").clear();
+    }
+}
+
+struct Fleet {
+    stages: Vec<(Stage, String)>,
+    gateways: Vec<Option<Gateway>>,
+    links: Links,
+    _host: Host,
+}
+
+fn fleet(number: u8) -> Fleet {
+    let links = Links::default();
+    let ip = format!("127.77.{number}.8");
+    let free: Vec<UdpSocket> =
+        (0..GATEWAYS).map(|_| UdpSocket::bind((ip.as_str(), 0)).expect("a free port")).collect();
+    let listen: Vec<String> =
+        free.iter().map(|one| one.local_addr().expect("an address").to_string()).collect();
+    drop(free);
+    let first = Stage::new(number);
+    let host = first.host((0..50).map(|_| Say::RowAt(b"v", 1_700_000_000_000)).collect());
+    let mut stages = vec![first];
+    stages.extend((1..GATEWAYS).map(|place| Stage::new(number + place as u8)));
+    let stages = stages.into_iter().enumerate().map(|(me, stage)| {
+        let peers = (0..GATEWAYS).map(|to| match to == me {
+            true => listen[to].clone(),
+            false => links.open(&format!("127.77.{number}.9"), (me, to), listen[to].clone()),
+        });
+        let peers: Vec<String> = peers.map(|peer| format!("\"{peer}\"")).collect();
+        let stage = stage.list(&[(&host, "up", "primary")]).operator(FILE);
+        let more = format!("{{\"peer_listen\":\"{}\",\"peers\":[{}],", listen[me], peers.join(","));
+        let config = stage.config().replacen('{', &more, 1);
+        (stage, config)
+    });
+    let stages = stages.collect();
+    let gateways = (0..GATEWAYS).map(|_| None).collect();
+    let mut fleet = Fleet { stages, gateways, links, _host: host };
+    (0..GATEWAYS).for_each(|place| fleet.start(place));
+    fleet
+}
+
+impl Fleet {
+    fn start(&mut self, place: usize) {
+        let (stage, config) = &self.stages[place];
+        let gateway = stage.start_with(config);
+        gateway.line_with("serves at");
+        self.gateways[place] = Some(gateway);
+    }
+
+    fn gateway(&self, place: usize) -> &Gateway {
+        self.gateways[place].as_ref().expect("it runs")
+    }
+
+    /// Waits until each of these owns so many duties.
+    fn wait_until_owned(&self, owned: &[(usize, u64)]) {
+        for (place, owned) in owned {
+            self.gateway(*place).wait_for("duties_owned=", |count| count == *owned);
+        }
+    }
+
+    /// Waits until each of these knows the owner of so many duties.
+    fn wait_until_known(&self, places: &[usize], known: u64) {
+        places.iter().for_each(|place| {
+            self.gateway(*place).wait_for("duties_known=", |count| count == known);
+        });
+    }
+
+    fn wait_until_even(&self) {
+        self.wait_until_owned(&ELECTORS.map(|place| (place, EACH)));
+        self.wait_until_known(&[0, 1, 2, 3, 4], DUTIES);
+    }
+}
+
+#[test]
+fn shards_are_spread_evenly_and_those_of_one_that_is_killed_pass_on_and_come_back() {
+    let mut fleet = fleet(140);
+    fleet.wait_until_even();
+    fleet.gateways[1] = None;
+    // The next in order has the shards of the one that is gone beside its own.
+    fleet.wait_until_owned(&[(0, EACH), (3, 2 * EACH)]);
+    fleet.wait_until_known(&[0, 2, 3, 4], DUTIES);
+    fleet.start(1);
+    fleet.wait_until_even();
+}
+
+#[test]
+fn shards_of_one_that_stands_still_pass_on_and_it_wakes_up_powerless() {
+    let fleet = fleet(146);
+    fleet.wait_until_even();
+    fleet.gateway(3).signal("STOP");
+    fleet.wait_until_owned(&[(0, 2 * EACH), (1, EACH)]);
+    fleet.gateway(3).signal("CONT");
+    fleet.gateway(3).wait_for("duties_lost=", |lost| lost >= EACH);
+    fleet.wait_until_even();
+}
+
+#[test]
+fn while_regions_are_cut_the_one_with_most_electors_owns_all_and_the_other_serves_by_itself() {
+    let fleet = fleet(152);
+    fleet.wait_until_even();
+    let (most, rest) = ([0, 1, 2], [3, 4]);
+    fleet.links.cut(&most, &rest);
+    fleet.links.cut(&rest, &most);
+    fleet.wait_until_owned(&[(0, 2 * EACH), (1, EACH), (3, 0)]);
+    fleet.wait_until_known(&most, DUTIES);
+    fleet.wait_until_known(&rest, 0);
+    // Nothing is lent where nobody owns the share-out, and clients are served.
+    fleet.gateway(4).wait_for("share_lent=", |lent| lent == 0);
+    assert_eq!(kinds(&fleet.gateway(4).client().ask(&select("a", "view", 20000))), "TDCZ");
+    fleet.links.join();
+    fleet.wait_until_even();
+}
+
+#[test]
+fn an_elector_that_nobody_hears_loses_its_shards_though_it_hears_all_others() {
+    let fleet = fleet(158);
+    fleet.wait_until_even();
+    fleet.links.cut(&[1], &[0, 2, 3, 4]);
+    fleet.wait_until_owned(&[(0, EACH), (1, 0), (3, 2 * EACH)]);
+    fleet.wait_until_known(&[0, 2, 3, 4], DUTIES);
+    fleet.links.join();
+    fleet.wait_until_even();
+}
+
+#[test]
+fn with_a_fifth_of_all_datagrams_lost_shards_stay_with_their_owners_most_of_the_time() {
+    let fleet = fleet(164);
+    fleet.wait_until_even();
+    fleet.links.lost.store(200, Ordering::Relaxed);
+    std::thread::sleep(6 * LEASE);
+    fleet.links.lost.store(0, Ordering::Relaxed);
+    fleet.wait_until_even();
+}
