--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -3,7 +3,6 @@
 use super::addresses::{of_gateway, port, zone, zone_name};
 use super::list_service::ListService;
 use super::protocol::{Command, GatewayStats, HollowPlan, Plant, Stats};
-use crate::client::Connection;
 use crate::gateways::settings_of_tier;
 use crate::group::Part;
 use crate::hosts::Farm;
@@ -460,27 +459,6 @@
         }
     }
 
-    /// Clients ask the real gateways for as long as this runs.
-    pub async fn load(&self) {
-        let mut tasks = tokio::task::JoinSet::new();
-        for (place, real) in self.real.iter().enumerate() {
-            let listen = real.listen;
-            tasks.spawn_local(async move {
-                let Ok(mut connection) = Connection::open(listen).await else { return };
-                for asked in 0u64.. {
-                    let (id, cluster) = (place as u64 * 1_000_000 + asked, 2 + asked % FARM.0 as u64);
-                    let text = format!(
-                        "SELECT content FROM kv WHERE name = 'r{}' /* id={id},c=history,d=1200,cluster={cluster} */",
-                        id % 97
-                    );
-                    connection.ask(&text, Duration::from_secs(3)).await;
-                    tokio::time::sleep(Duration::from_millis(20)).await;
-                }
-            });
-        }
-        while tasks.join_next().await.is_some() {}
-    }
-
     /// Writes every gateway's configuration anew, with other settings.
     pub fn change_settings(&self) -> std::io::Result<()> {
         for number in 0..self.plan.gateways {
