--- a/crates/lab/src/scale/figures.rs
+++ b/crates/lab/src/scale/figures.rs
@@ -1,7 +1,7 @@
 //! Figures of roles: what each depends on, its budget at the operators' size, its slopes, and what they predict.
 
+use super::costs::{Cost, Costs};
 use super::fit::Fit;
-use super::fleet::{Cost, Costs};
 use serde::{Deserialize, Serialize};
 
 /// How large a fleet is.
--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -1,22 +1,20 @@
 //! One fleet of hollow and real gateways before a list service, and what each of its roles costs.
 
-use super::addresses::{of_gateway, port, zone, zone_name};
+use super::costs::{cost, mean, Costs};
+use super::files::{client_address, farm_entries, write_files};
 use super::list_service::ListService;
+use super::processes::{Hollow, Real};
 use super::protocol::{Command, GatewayStats, HollowPlan, Plant, Stats};
-use crate::gateways::settings_of_tier;
-use crate::group::Part;
 use crate::hosts::Farm;
-use crate::measure::{cpu_ns, resident_kb};
 use crate::stage::{program, BOUND};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command as Process, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Real gateways beside the hollow ones: the first places that have no elector.
@@ -27,9 +25,6 @@
 const FARM: (usize, usize) = (4, 5);
 /// Hollow gateways of one process at most, but for electors, which have processes of their own.
 const PER_PROCESS: usize = 50;
-/// Secret of the fleet's datagrams.
-const SECRET: &str = "5ca1e";
-
 /// What gateways tell each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Family {
@@ -92,95 +87,6 @@
     }
 }
 
-/// A hollow process, as the experiment speaks to it.
-pub struct Hollow {
-    /// Its gateways.
-    pub gateways: Vec<usize>,
-    child: Child,
-    stream: BufReader<TcpStream>,
-}
-
-impl Hollow {
-    /// Asks for something and waits for the answer.
-    pub async fn ask(&mut self, command: &Command) -> std::io::Result<Stats> {
-        let line = serde_json::to_string(command).map_err(std::io::Error::other)? + "\n";
-        self.stream.get_mut().write_all(line.as_bytes()).await?;
-        let mut answer = String::new();
-        if self.stream.read_line(&mut answer).await? == 0 {
-            return Err(std::io::Error::other("a hollow process ended"));
-        }
-        serde_json::from_str(&answer).map_err(std::io::Error::other)
-    }
-}
-
-impl Drop for Hollow {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// A real gateway.
-struct Real {
-    child: Child,
-    listen: SocketAddr,
-    log: PathBuf,
-    number: usize,
-}
-
-impl Drop for Real {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Real {
-    /// Its counters, asked for by a signal and read from its log.
-    async fn stats(&self) -> std::io::Result<Stats> {
-        let id = self.child.id();
-        let lines = |text: &str| text.matches("requests=").count();
-        let before = lines(&std::fs::read_to_string(&self.log)?);
-        let sent = Process::new("kill").args(["-USR1", &id.to_string()]).status()?;
-        if !sent.success() {
-            return Err(std::io::Error::other("a real gateway ended"));
-        }
-        for _ in 0..200 {
-            let text = std::fs::read_to_string(&self.log)?;
-            if lines(&text) > before {
-                let last = text.lines().rev().find(|line| line.contains("requests=")).unwrap_or_default();
-                return Ok(Stats {
-                    cpu_ns: cpu_ns(id)?,
-                    rss_kb: resident_kb(id)?,
-                    base_kb: 0,
-                    gateways: vec![self.counted(last)],
-                });
-            }
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-        Err(std::io::Error::other("a real gateway does not tell its counters"))
-    }
-
-    fn counted(&self, line: &str) -> GatewayStats {
-        let count = |name: &str| {
-            let mut words = line.split_ascii_whitespace();
-            let value =
-                words.find_map(|word| word.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok());
-            value.unwrap_or(0)
-        };
-        GatewayStats {
-            number: self.number,
-            up: true,
-            told: count("told"),
-            told_bytes: count("told_bytes"),
-            heard: count("heard"),
-            heard_bytes: count("heard_bytes"),
-            list_bytes: count("list_bytes"),
-            ..GatewayStats::default()
-        }
-    }
-}
-
 /// A folder that is removed with this value.
 struct Folder(PathBuf);
 
@@ -211,76 +117,6 @@
     service: [u64; 3],
 }
 
-/// What one gateway of a role costs in a second.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Cost {
-    /// Datagrams heard.
-    pub datagrams_in: f64,
-    /// Datagrams told.
-    pub datagrams_out: f64,
-    /// Bytes heard in datagrams.
-    pub bytes_in: f64,
-    /// Bytes told in datagrams.
-    pub bytes_out: f64,
-    /// Bytes of discovery's watch.
-    pub list_bytes: f64,
-    /// Processor time (microseconds).
-    pub cpu_us: f64,
-    /// Resident memory (kB).
-    pub rss_kb: f64,
-    /// Entries of state.
-    pub entries: f64,
-}
-
-impl Cost {
-    /// So many times this cost; what is there once, entries and memory, included.
-    fn times(self, factor: f64) -> Cost {
-        Cost {
-            datagrams_in: self.datagrams_in * factor,
-            datagrams_out: self.datagrams_out * factor,
-            bytes_in: self.bytes_in * factor,
-            bytes_out: self.bytes_out * factor,
-            list_bytes: self.list_bytes * factor,
-            cpu_us: self.cpu_us * factor,
-            rss_kb: self.rss_kb * factor,
-            entries: self.entries * factor,
-        }
-    }
-}
-
-/// What a fleet cost between two snapshots.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Costs {
-    /// A gateway that is no elector: the mean.
-    pub gateway: Cost,
-    /// An owner of duties: all that electors cost, over those that share the work.
-    pub owner: Cost,
-    /// A real gateway: the mean.
-    pub real: Cost,
-    /// A hollow gateway without demand: the mean.
-    pub quiet: Cost,
-    /// Bytes that the list service sent in a second.
-    pub service_bytes: f64,
-    /// Bytes of a whole list.
-    pub whole_list_bytes: f64,
-    /// Changes of the list in a second.
-    pub changes: f64,
-}
-
-impl Costs {
-    /// The same with the lesser processor time of the two, role by role.
-    pub fn with_least_cpu(self, other: Costs) -> Costs {
-        let least = |one: Cost, other: Cost| Cost { cpu_us: one.cpu_us.min(other.cpu_us), ..one };
-        Costs {
-            gateway: least(self.gateway, other.gateway),
-            owner: least(self.owner, other.owner),
-            real: least(self.real, other.real),
-            quiet: least(self.quiet, other.quiet),
-            ..self
-        }
-    }
-}
-
 impl Fleet {
     /// Starts everything and waits until every gateway holds a list.
     pub async fn start(plan: Plan) -> std::io::Result<Fleet> {
@@ -469,81 +305,3 @@
         Ok(())
     }
 }
-
-fn cost(earlier: Option<&GatewayStats>, one: &GatewayStats, seconds: f64, cpu_us: f64, rss_kb: f64) -> Cost {
-    let zero = GatewayStats::default();
-    let earlier = earlier.unwrap_or(&zero);
-    // One that was started anew counts from 0 again.
-    let rate = |after: u64, before: u64| after.saturating_sub(before) as f64 / seconds;
-    Cost {
-        datagrams_in: rate(one.heard, earlier.heard),
-        datagrams_out: rate(one.told, earlier.told),
-        bytes_in: rate(one.heard_bytes, earlier.heard_bytes),
-        bytes_out: rate(one.told_bytes, earlier.told_bytes),
-        list_bytes: rate(one.list_bytes, earlier.list_bytes),
-        cpu_us,
-        rss_kb,
-        entries: one.entries as f64,
-    }
-}
-
-fn mean(costs: &[Cost]) -> Cost {
-    let count = costs.len().max(1) as f64;
-    let of = |figure: fn(&Cost) -> f64| costs.iter().map(figure).sum::<f64>() / count;
-    Cost {
-        datagrams_in: of(|cost| cost.datagrams_in),
-        datagrams_out: of(|cost| cost.datagrams_out),
-        bytes_in: of(|cost| cost.bytes_in),
-        bytes_out: of(|cost| cost.bytes_out),
-        list_bytes: of(|cost| cost.list_bytes),
-        cpu_us: of(|cost| cost.cpu_us),
-        rss_kb: of(|cost| cost.rss_kb),
-        entries: of(|cost| cost.entries),
-    }
-}
-
-/// Where clients reach a gateway: beside where other gateways do.
-fn client_address(number: usize) -> SocketAddr {
-    of_gateway(number, port() + 1)
-}
-
-fn write_files(plan: &Plan, folder: &Path, discovery: SocketAddr) -> std::io::Result<()> {
-    let port = port();
-    let peers: Vec<String> =
-        (0..plan.gateways).map(|number| format!("\"{}\"", of_gateway(number, port))).collect();
-    let peers = peers.join(",");
-    for number in 0..plan.gateways {
-        let (listen, heard, zone) =
-            (client_address(number), of_gateway(number, port), zone_name(zone(number)));
-        let seed = plan.seed.wrapping_mul(31).wrapping_add(101 + number as u64);
-        let settings = settings_of_tier(false, plan.gateways, zone);
-        let config = format!(
-            r#"{{"name":"n{number}","listen":"{listen}","discovery":"{discovery}","seed":"{seed:x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":2048}},"peer_listen":"{heard}","peers":[{peers}],"settings":{settings}}}"#
-        );
-        std::fs::write(folder.join(format!("config{number}")), config)?;
-    }
-    let operator = match plan.family {
-        Family::Duties => format!("ownership: {{secret: \"{SECRET}\"\n{}}}\n", plan.ownership),
-        Family::Sessions => format!(
-            "sessions: {{classes: [\"view\", \"pay\"], secret: \"{SECRET}\", sources: [\"peers\"]}}\n"
-        ),
-    };
-    std::fs::write(folder.join("operator"), operator)
-}
-
-/// The real hosts as entries of the list.
-fn farm_entries(farm: &Farm) -> String {
-    let addresses = farm.addresses.borrow();
-    let mut rows = Vec::new();
-    for (group, addresses) in farm.groups.iter().zip(addresses.iter()) {
-        let group = group.borrow();
-        for (member, address) in group.members.iter().zip(addresses) {
-            let role = if matches!(member.part, Part::Follows) { "standby" } else { "primary" };
-            let (name, cell) = (&member.name, group.id);
-            rows.push(format!(
-                r#"{{"id":"{name}","host_port":"{address}","locality":"a","cell":{cell},"phase":"up","replication":"{role}","size":1.0,"up_since_ms":0}}"#
-            ));
-        }
-    }
-    rows.join(",")
-}
