Failing tests: hosts in slow start get more work than their budget

Cause, not mended yet: crates/policy/src/router/slow_start.rs, slow_start_rate() and slow_start_tokens(): the parts that gateways reckon have no bound in their sum; it counts requests, not work; the estimate of what a member carries is divided by the members left now; at least one whole attempt is saved up by each gateway.

--- a/crates/policy/tests/common/fleet.rs
+++ b/crates/policy/tests/common/fleet.rs
@@ -24,6 +24,8 @@
     /// When, and by which router.
     pub times: Vec<Time>,
     pub senders: Vec<usize>,
+    /// Classes of what was sent to it.
+    pub classes: Vec<usize>,
 }
 
 #[derive(Clone)]
@@ -44,6 +46,9 @@
     pub out: BTreeMap<(usize, RequestId, u32), (MemberId, Time, Time)>,
     pub attempts: BTreeMap<(usize, RequestId), u32>,
     pub writes: BTreeSet<RequestId>,
+    pub classes: BTreeMap<RequestId, usize>,
+    /// Work of each class, in parts of the mean that a member has.
+    pub class_work: Vec<f64>,
     /// Attempts that wait for a connection, until when.
     pub hung: Vec<(Time, MemberId, Job)>,
     pub served: usize,
@@ -56,7 +61,16 @@
 
 impl Fleet {
     pub fn new(count: usize, entries: &[Entry], members: Vec<(MemberId, bool, usize, Time)>) -> Fleet {
-        let mut settings = Settings { routers: count as u32, may_probe: false, ..settings() };
+        Fleet::with_settings(count, entries, members, settings())
+    }
+
+    pub fn with_settings(
+        count: usize,
+        entries: &[Entry],
+        members: Vec<(MemberId, bool, usize, Time)>,
+        settings: Settings,
+    ) -> Fleet {
+        let mut settings = Settings { routers: count as u32, may_probe: false, ..settings };
         settings.classes.iter_mut().for_each(|class| class.attempts = 8);
         // Writes are wanted soon and waited for long.
         settings.classes[5].deadline = 3_000 * MS;
@@ -78,6 +92,7 @@
                     peak: 0,
                     times: Vec::new(),
                     senders: Vec::new(),
+                    classes: Vec::new(),
                 },
             )
         };
@@ -90,6 +105,8 @@
             out: BTreeMap::new(),
             attempts: BTreeMap::new(),
             writes: BTreeSet::new(),
+            classes: BTreeMap::new(),
+            class_work: vec![1.0; settings.classes.len()],
             hung: Vec::new(),
             served: 0,
             asked: 0,
@@ -102,6 +119,7 @@
         self.asked += 1;
         let name = format!("q{}", self.asked);
         self.inbox[router].push(request(&name, class, time_left, None));
+        self.classes.insert(name.as_str().into(), class);
         if class >= 4 {
             self.writes.insert(name.into());
         }
@@ -161,7 +179,9 @@
                 let Some(job) = member.queue.pop_front() else { break };
                 // No two pieces of work are alike: half to one and a half of the mean.
                 let draw = (member.sent * 7919 + job.router * 104_729) % 101;
-                member.busy.push((now + member.work * (50 + draw as Time) / 100, job));
+                let class_work = self.class_work[self.classes[&job.request]];
+                let work = (member.work as f64 * class_work) as Time;
+                member.busy.push((now + work * (50 + draw as Time) / 100, job));
             }
             done.iter().for_each(|job| self.tell(job, id, Ending::Served));
         }
@@ -198,6 +218,7 @@
                 member.sent += 1;
                 member.times.push(self.now);
                 member.senders.push(router);
+                member.classes.push(self.classes[&job.request]);
                 if member.silent {
                     // It does not come up: given up after 40 ms.
                     self.hung.push((self.now + 40 * MS, id, job));
--- /dev/null
+++ b/tests/faulty_fleet/mod.rs
@@ -0,0 +1,175 @@
+//! A fleet of real gateway processes on loopback, before emulated hosts and an emulated discovery, with clients that keep
+//! their connections. Faults are injected at the hosts, at discovery and at the processes; what happened is read from
+//! what hosts and clients recorded, never from a gateway's word.
+
+#![allow(dead_code)]
+
+pub mod classes;
+pub mod clients;
+pub mod gateways;
+pub mod hosts;
+pub mod list;
+pub mod rules;
+
+use clients::{Clients, Ledger};
+use gateways::GatewayProcess;
+use hosts::Host;
+use list::EndpointList;
+use rand_core::RngCore;
+use rand_pcg::Pcg64Mcg;
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Microseconds since the fleet's start.
+pub type Time = i64;
+
+/// The time of a fleet, which all its parts share.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    begun: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+        Clock { begun: Instant::now(), unix }
+    }
+
+    pub fn now(&self) -> Time {
+        self.begun.elapsed().as_micros() as Time
+    }
+
+    /// Unix time in milliseconds, as hosts report it.
+    pub fn unix_ms(&self) -> u64 {
+        (self.unix + self.begun.elapsed()).as_millis() as u64
+    }
+
+    pub async fn sleep(&self, span: Duration) {
+        tokio::time::sleep(span).await;
+    }
+}
+
+/// A uniform sample of 0 to 1.
+pub fn uniform(rng: &mut Pcg64Mcg) -> f64 {
+    rng.next_u64() as f64 / u64::MAX as f64
+}
+
+/// One of so many.
+pub fn below(rng: &mut Pcg64Mcg, count: usize) -> usize {
+    (rng.next_u64() % count.max(1) as u64) as usize
+}
+
+/// How hosts start, as the settings tell the gateways.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowStart {
+    /// Share of its capacity that a host has right after its start.
+    pub initial_share: f64,
+    /// Until it has all of it.
+    pub span: Duration,
+    /// Times its capacity that a host may be sent.
+    pub overload_factor: f64,
+    /// The window in which that is counted.
+    pub overload_span: Duration,
+}
+
+impl SlowStart {
+    /// The share of its capacity that a host of this age has.
+    pub fn share(&self, age: Duration) -> f64 {
+        let grown = age.as_secs_f64() / self.span.as_secs_f64();
+        (self.initial_share + (1.0 - self.initial_share) * grown).min(1.0)
+    }
+}
+
+/// What a fleet consists of.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Its addresses are in 127.NUMBER.0.0/16.
+    pub number: u8,
+    pub gateways: usize,
+    pub hosts: usize,
+    /// Share of the hosts' capacity that clients ask for.
+    pub load: f64,
+    /// Share of the requests that are long statements.
+    pub long_share: f64,
+    pub slow_start: SlowStart,
+    pub seed: u64,
+}
+
+/// A fleet that runs.
+pub struct Fleet {
+    pub plan: Plan,
+    pub clock: Clock,
+    pub hosts: Vec<Rc<Host>>,
+    pub list: Rc<EndpointList>,
+    pub gateways: Vec<Rc<GatewayProcess>>,
+    pub ledger: Rc<Ledger>,
+    /// Share of the hosts' capacity that clients ask for now.
+    pub load: Rc<Cell<f64>>,
+    /// Where in the schedule the fleet is, for the report of a failure.
+    pub history: RefCell<Vec<String>>,
+}
+
+impl Fleet {
+    /// Starts all parts, and waits until each gateway serves.
+    async fn start(plan: Plan) -> Rc<Fleet> {
+        let clock = Clock::start();
+        let mut hosts = Vec::new();
+        for number in 0..plan.hosts {
+            hosts.push(Host::start(plan, number, clock));
+        }
+        let list = EndpointList::start(plan.number, clock, hosts.clone()).await;
+        let gateways: Vec<Rc<GatewayProcess>> =
+            (0..plan.gateways).map(|number| GatewayProcess::new(plan, number, &list, clock)).collect();
+        gateways.iter().for_each(|gateway| gateway.start());
+        for gateway in &gateways {
+            gateway.is_ready().await;
+        }
+        let load = Rc::new(Cell::new(plan.load));
+        let ledger = Rc::new(Ledger::default());
+        for gateway in &gateways {
+            let clients = Clients::new(plan, clock, gateway.clone(), ledger.clone(), load.clone());
+            tokio::task::spawn_local(clients.run());
+        }
+        Rc::new(Fleet { plan, clock, hosts, list, gateways, ledger, load, history: RefCell::default() })
+    }
+
+    /// Notes what is done to the fleet.
+    pub fn note(&self, what: &str) {
+        let at = self.clock.now() as f64 / 1e6;
+        self.history.borrow_mut().push(format!("{at:.3} {what}"));
+    }
+
+    pub async fn wait(&self, milliseconds: u64) {
+        self.clock.sleep(Duration::from_millis(milliseconds)).await;
+    }
+
+    /// A host starts anew, and all gateways are notified `later` milliseconds after.
+    pub async fn restart_host(&self, host: usize, later: u64) {
+        self.note(&format!("host {host} starts"));
+        self.hosts[host].restart();
+        self.wait(later).await;
+        self.list.publish_start(host);
+    }
+
+    /// Hosts begin to drain, and all gateways are notified.
+    pub fn drain_hosts(&self, hosts: &[usize]) {
+        self.note(&format!("hosts {hosts:?} drain"));
+        hosts.iter().for_each(|host| self.list.publish_drain(*host));
+    }
+}
+
+/// Starts a fleet, plays it, lets its last requests end, and gives it back for the rules to be checked.
+pub fn play<F: Future<Output = ()>>(plan: Plan, schedule: impl FnOnce(Rc<Fleet>) -> F) -> Rc<Fleet> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let fleet = Fleet::start(plan).await;
+        schedule(fleet.clone()).await;
+        fleet.note("no more requests");
+        fleet.load.set(0.0);
+        fleet.clock.sleep(classes::LONGEST_DEADLINE + clients::LATEST_ANSWER).await;
+        fleet
+    })
+}
