Slow start: count work, and keep the gateways' parts of a budget below it in their sum

Cause (before, crates/policy/src/router/slow_start.rs): slow_start_rate() divided the served rate of 4 s by available_members of now, counted answers alike and planned for 1.3 or 1.7 of the budget; slow_start_tokens() kept at least one attempt at each router.

--- a/crates/policy/src/learned_state.rs
+++ b/crates/policy/src/learned_state.rs
@@ -17,6 +17,7 @@
     members: BTreeMap<MemberId, Member>,
     groups: BTreeMap<u64, Group>,
     sojourns: Samples<f64>,
+    /// Served requests of the shortest latency target a second, at all members.
     served_rate: f64,
     served_rate_at: Time,
     service_time: ServiceTime,
@@ -94,8 +95,9 @@
             members,
             groups,
             sojourns: self.load.sojourns.clone(),
-            served_rate: self.load.served_rate,
-            served_rate_at: self.load.served_rate_at,
+            served_rate: self.load.carried_rate * self.count_available().weight
+                / self.shortest_latency_target.max(1) as f64,
+            served_rate_at: self.load.carried_rate_at,
             service_time: self.load.service_time,
             shed_share: self.load.shed_share,
         }
@@ -124,8 +126,10 @@
         self.members = learned_state.members;
         self.groups = learned_state.groups;
         self.load.sojourns = learned_state.sojourns;
-        self.load.served_rate = learned_state.served_rate;
-        self.load.served_rate_at = learned_state.served_rate_at;
+        let work = learned_state.served_rate * self.shortest_latency_target as f64;
+        let weight = self.count_available().weight;
+        self.load.carried_rate = if weight > 0.0 { work / weight } else { 0.0 };
+        self.load.carried_rate_at = learned_state.served_rate_at;
         self.load.service_time = learned_state.service_time;
         self.load.shed_share = learned_state.shed_share;
         self.rebuild_indexes();
--- a/crates/policy/src/router/concurrency.rs
+++ b/crates/policy/src/router/concurrency.rs
@@ -44,8 +44,8 @@
         self.base_quota * self.groups.get(&group).map_or(1.0, |state| state.quota_adjustment.at(self.now))
     }
 
-    /// Whether a member may take one more attempt, with this share of the quota open to it.
-    pub(super) fn has_capacity(&self, id: MemberId, share: f64) -> bool {
+    /// Whether a member may take one more attempt of this class, with this share of the quota open to it.
+    pub(super) fn has_capacity(&self, id: MemberId, share: f64, class: usize) -> bool {
         let Some(member) = self.members.get(&id) else { return false };
         let limit = if member.consecutive_failures >= SINGLE_ATTEMPT_FAILURES {
             1.0
@@ -53,7 +53,9 @@
             member.concurrency_limit * self.quota_part(member.group) * share
         };
         let in_flight = f64::from(member.in_flight.saturating_sub(member.presumed_lost));
-        in_flight < limit.max(1.0) && self.now >= member.paced_until && self.has_slow_start_budget(member)
+        in_flight < limit.max(1.0)
+            && self.now >= member.paced_until
+            && self.has_slow_start_budget(member, class)
     }
 }
 
--- a/crates/policy/src/router/dispatch.rs
+++ b/crates/policy/src/router/dispatch.rs
@@ -27,7 +27,7 @@
             && has_no_second_effect
             && in_service
             && fresh
-            && self.has_slow_start_budget(member)
+            && self.has_slow_start_budget(member, request.class)
     }
 
     fn has_no_second_effect(&self, request: &Request, effect: Effect, id: MemberId, member: &Member) -> bool {
@@ -83,7 +83,7 @@
             return;
         }
         let until = self.attempt_deadline(request, member);
-        let start_tokens = self.slow_start_tokens(member) - 1.0;
+        let start_tokens = self.slow_start_tokens_after(member, request.class);
         if self.is_trial_paid(request, member) {
             self.budgets.trials -= 1.0;
         }
@@ -114,7 +114,6 @@
     fn note_send(&mut self, id: MemberId, start_tokens: f64, deadline: AttemptDeadline) {
         let Some(member) = self.members.get_mut(&id) else { return };
         member.start_tokens = start_tokens;
-        member.start_tokens_at = self.now;
         if member.suspected {
             member.ejected_until = deadline.trial_end;
         }
--- a/crates/policy/src/router/endpoints.rs
+++ b/crates/policy/src/router/endpoints.rs
@@ -45,7 +45,7 @@
     /// primary.
     fn start_member(&mut self, entry: &Entry) {
         let mut member = self.new_member(entry);
-        member.start_tokens = self.rng.uniform_sample();
+        member.start_tokens = self.initial_start_tokens();
         if let Some(earlier) = self.members.get(&entry.member) {
             member.in_flight = earlier.in_flight;
             member.replica_evidence_at = earlier.replica_evidence_at;
--- a/crates/policy/src/router/health.rs
+++ b/crates/policy/src/router/health.rs
@@ -3,7 +3,7 @@
 use super::concurrency::INITIAL_CONCURRENCY_LIMIT;
 use super::Router;
 use crate::interface::{Action, Effect, Ending, GroupId, MemberId, MemberStatus, Report, Time};
-use crate::state::{share_of, Member};
+use crate::state::{share_of, AvailableMembers, Member};
 use std::collections::BTreeSet;
 
 /// Failures in a row that a silent member counts as having (count): the first pause, in doublings of the
@@ -21,14 +21,15 @@
 const CHECK_INTERVAL_DIVISOR: Time = 8;
 
 impl Router {
-    /// Whether a suspected member may be tried with a request. Only where members can't be probed.
-    pub(super) fn may_try_suspected(&self, id: MemberId) -> bool {
+    /// Whether a suspected member may be tried with a request of this class. Only where members can't be
+    /// probed.
+    pub(super) fn may_try_suspected(&self, id: MemberId, class: usize) -> bool {
         if self.settings.may_probe {
             return false;
         }
         let Some(member) = self.members.get(&id) else { return false };
         let is_candidate = self.is_in_service(member) && !member.down && member.suspected;
-        is_candidate && self.now >= member.ejected_until && self.has_capacity(id, 1.0)
+        is_candidate && self.now >= member.ejected_until && self.has_capacity(id, 1.0, class)
     }
 
     /// Whether all members of a group that are in service and not down are suspected.
@@ -52,7 +53,7 @@
         });
         self.sum_up_waits();
         if self.indexes.take_available_outdated() {
-            self.available_members = self.members.values().filter(|member| self.is_available(member)).count();
+            self.available = self.count_available();
         }
         for id in self.indexes.members_to_check(self.settings.may_probe) {
             self.visits.members += 1;
@@ -64,6 +65,15 @@
         self.probe_groups_without_primary();
     }
 
+    /// Members that are in service and not down.
+    pub(crate) fn count_available(&self) -> AvailableMembers {
+        let available = self.members.values().filter(|member| self.is_available(member));
+        available.fold(AvailableMembers::default(), |sum, member| AvailableMembers {
+            count: sum.count + 1,
+            weight: sum.weight + member.weight,
+        })
+    }
+
     fn is_available(&self, member: &Member) -> bool {
         self.is_in_service(member) && !member.down
     }
@@ -166,7 +176,7 @@
     /// Takes in the end of a probe.
     pub(super) fn record_probe(&mut self, id: MemberId, ending: Ending, report: &Report) {
         self.record_report(id, report);
-        let start_tokens = self.rng.uniform_sample();
+        let start_tokens = self.initial_start_tokens();
         let Some(member) = self.members.get_mut(&id) else { return };
         member.probe_in_flight = false;
         let unanswered = matches!(ending, Ending::TimedOut | Ending::ConnectFailed | Ending::ConnectionLost);
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -28,7 +28,7 @@
 use crate::interface::{
     Action, Event, GroupId, MemberId, RequestId, Role, Settings, SettingsError, Time, VisitCounts,
 };
-use crate::state::{Group, LoadState, Member, Request, SeededRng};
+use crate::state::{AvailableMembers, Group, LoadState, Member, Request, SeededRng};
 use admission::PROBE_BUDGET_SHARE;
 use evidence::Evidence;
 use std::collections::BTreeMap;
@@ -79,14 +79,14 @@
     /// (microseconds).
     silence_threshold: Time,
     /// Shortest latency target of all classes (microseconds).
-    shortest_latency_target: Time,
+    pub(crate) shortest_latency_target: Time,
     logged_at: Time,
     /// Notes that were left out since then (count).
     notes_left_out: u32,
     /// Load of the members as a whole.
     pub(crate) load: LoadState,
-    /// Members that are in service and not down (count).
-    available_members: usize,
+    /// Members that are in service and not down.
+    available: AvailableMembers,
     /// When health was last checked.
     pub(crate) watched_at: Time,
     pub(crate) indexes: Indexes,
--- a/crates/policy/src/router/outcomes.rs
+++ b/crates/policy/src/router/outcomes.rs
@@ -85,7 +85,10 @@
             self.record_answer(&outcome, is_write);
         }
         if outcome.ending == Ending::Served {
-            self.record_served(is_write, outcome.took);
+            self.record_service_time(is_write, outcome.took);
+            if let Some(attempt) = &attempt {
+                self.record_carried(outcome.member, self.settings.classes[attempt.class].latency_target);
+            }
         }
         if let Some(attempt) = attempt.filter(|_| self.members.contains_key(&outcome.member)) {
             let measurement = self.measure(&outcome, &attempt);
--- a/crates/policy/src/router/overload.rs
+++ b/crates/policy/src/router/overload.rs
@@ -1,7 +1,7 @@
 //! Overload of the members as a whole: the share of reads that is shed, and the load that members carry.
 
 use super::Router;
-use crate::interface::{Class, Ending, Need, Time};
+use crate::interface::{Class, Ending, MemberId, Need, Time};
 use crate::state::Sample;
 
 /// Sojourn (share of the latency target) that a third of the answers may pass before the members as a whole
@@ -15,23 +15,38 @@
 const MAX_SHED_SHARE: f64 = 0.95;
 /// Steps up for an answer that shows overload; one that shows none takes one step down (count).
 const OVERLOAD_STEPS: f64 = 2.0;
-/// Span over which a router's served answers are counted (microseconds): some seconds, to outlast a lull.
-const SERVED_RATE_SPAN: f64 = 4e6;
+/// Span over which the work that a router had served is counted (microseconds): some seconds, to outlast
+/// a lull.
+const CARRIED_RATE_SPAN: f64 = 4e6;
+/// A warming member is not taken for colder than this where its work is counted (share of its capacity):
+/// the settings say what it has at least, and it may have twice as much.
+const MIN_COUNTED_SHARE: f64 = 0.5;
 /// Served answers over which the work of reads and writes is compared (count).
 const SERVICE_TIME_ANSWERS: f64 = 100.0;
 const MICROSECONDS_PER_SECOND: f64 = 1e6;
 
 impl Router {
-    /// Served answers a second as of now: a decaying mean.
-    pub(super) fn current_served_rate(&self) -> f64 {
-        let age = (self.now - self.load.served_rate_at) as f64;
-        self.load.served_rate * (-age / SERVED_RATE_SPAN).exp()
+    /// Work (microseconds of latency target) that a member of weight 1 carries a second for this router,
+    /// as of now: a decaying mean.
+    pub(super) fn current_carried_rate(&self) -> f64 {
+        let age = (self.now - self.load.carried_rate_at) as f64;
+        self.load.carried_rate * (-age / CARRIED_RATE_SPAN).exp()
     }
 
-    /// Counts a served answer that took so long.
-    pub(super) fn record_served(&mut self, is_write: bool, took: Time) {
-        self.load.served_rate = self.current_served_rate() + MICROSECONDS_PER_SECOND / SERVED_RATE_SPAN;
-        self.load.served_rate_at = self.now;
+    /// Counts the work of an answer that a member served, divided by the members that there are now: a
+    /// mean over seconds, divided by the members left at its end, would grow when members leave. A
+    /// warming member would do more if it were warm.
+    pub(super) fn record_carried(&mut self, id: MemberId, latency_target: Time) {
+        let Some(member) = self.members.get(&id) else { return };
+        let work = latency_target as f64 / self.capacity_share(member).max(MIN_COUNTED_SHARE);
+        let weight = if self.available.weight > 0.0 { self.available.weight } else { 1.0 };
+        let rate = work / weight * MICROSECONDS_PER_SECOND / CARRIED_RATE_SPAN;
+        self.load.carried_rate = self.current_carried_rate() + rate;
+        self.load.carried_rate_at = self.now;
+    }
+
+    /// Compares the work of reads and writes by a served answer that took so long.
+    pub(super) fn record_service_time(&mut self, is_write: bool, took: Time) {
         let decay = 1.0 - 1.0 / SERVICE_TIME_ANSWERS;
         self.load.service_time.reads *= decay;
         self.load.service_time.writes *= decay;
--- a/crates/policy/src/router/primary.rs
+++ b/crates/policy/src/router/primary.rs
@@ -51,11 +51,12 @@
         if let Some(primary) = self.primary(request.group) {
             if self.is_selectable(primary) {
                 let share = if is_write { 1.0 } else { PRIMARY_READ_SHARE };
-                let is_free = self.has_capacity(primary, share) && !self.was_just_tried(request, primary);
+                let is_free = self.has_capacity(primary, share, request.class)
+                    && !self.was_just_tried(request, primary);
                 return is_free.then_some(primary);
             }
             let silence = self.now - self.members[&primary].last_heard_at;
-            if silence > 2 * self.silence_threshold && self.may_try_suspected(primary) {
+            if silence > 2 * self.silence_threshold && self.may_try_suspected(primary, request.class) {
                 return Some(primary);
             }
         }
--- a/crates/policy/src/router/reads.rs
+++ b/crates/policy/src/router/reads.rs
@@ -72,7 +72,7 @@
     /// Whether this request may find out about a suspected member. One that needs fresher data than the
     /// member is known to have would not be sent there, and must go to another.
     fn may_try_with(&self, request: &Request, id: MemberId) -> bool {
-        self.may_try_suspected(id) && self.is_fresh(self.now, &request.id, id)
+        self.may_try_suspected(id, request.class) && self.is_fresh(self.now, &request.id, id)
     }
 
     /// Only one attempt is left, which the primary gets.
@@ -97,7 +97,7 @@
         for id in self.group_members(request.group).iter().copied() {
             let is_primary = Some(id) == primary;
             let share = if is_primary { PRIMARY_READ_SHARE } else { 1.0 };
-            let is_free = self.is_selectable(id) && self.has_capacity(id, share);
+            let is_free = self.is_selectable(id) && self.has_capacity(id, share, request.class);
             if is_free && !self.was_just_tried(request, id) && (!only_primary || is_primary) {
                 usable.push(id);
             }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -64,14 +64,32 @@
 pub(crate) struct LoadState {
     /// Latest sojourns at all members, as `Member::sojourns`.
     pub(crate) sojourns: Samples<f64>,
-    /// Served answers a second as of `served_rate_at`.
-    pub(crate) served_rate: f64,
-    pub(crate) served_rate_at: Time,
+    /// Work (microseconds of latency target) that a member of weight 1 carried a second as of `carried_rate_at`.
+    pub(crate) carried_rate: f64,
+    pub(crate) carried_rate_at: Time,
     pub(crate) service_time: ServiceTime,
     /// Share of the reads of least value that is shed (fraction).
     pub(crate) shed_share: f64,
 }
 
+/// Members that are in service and not down.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct AvailableMembers {
+    pub(crate) count: usize,
+    /// Sum of their weights.
+    pub(crate) weight: f64,
+}
+
+impl AvailableMembers {
+    /// Mean weight of a member; 1 where there are none.
+    pub(crate) fn mean_weight(&self) -> f64 {
+        if self.count == 0 {
+            return 1.0;
+        }
+        self.weight / self.count as f64
+    }
+}
+
 /// A share of a span, in whole microseconds.
 pub(crate) fn share_of(span: Time, share: f64) -> Time {
     (span as f64 * share) as Time
@@ -135,7 +153,7 @@
     pub(crate) ejected_until: Time,
     pub(crate) probe_in_flight: bool,
     pub(crate) probed_at: Time,
-    /// Attempts that its slow-start budget had room for at `start_tokens_at`.
+    /// Work (microseconds of latency target) that its slow-start budget had taken in and not spent at `start_tokens_at`.
     pub(crate) start_tokens: f64,
     pub(crate) start_tokens_at: Time,
 }
