Slow start: draw new reads for a replica where a gateway's part is under a request

Ruled out: longer kept spans; by reckoning they gain a quarter at most, as the bound falls with them. Requests dearer than the budget of all gateways wait for other members. What clients ask of a group is counted (Group::asked_rate). Left out of records; a gateway that adopts one draws by salts of its own.

--- a/crates/policy/src/learned_state.rs
+++ b/crates/policy/src/learned_state.rs
@@ -81,6 +81,7 @@
             member.last_listed_at = self.last_listed(*id, member);
             // It is by this process's clock, and not stored either.
             member.listed_at = 0;
+            member.start_salt = 0;
             member.in_flight = 0;
             member.presumed_lost = 0;
             member.silent_waits = SilentWaits::default();
@@ -90,6 +91,7 @@
         for group in groups.values_mut() {
             group.waiting.clear();
             group.quota_adjustment = QuotaAdjustment::default();
+            (group.asked_rate, group.asked_rate_at) = (0.0, 0);
         }
         LearnedState {
             members,
@@ -124,6 +126,9 @@
     /// says which of these members there still are.
     pub fn adopt_learned_state(&mut self, learned_state: LearnedState) {
         self.members = learned_state.members;
+        // Gateways that adopted alike must not draw alike.
+        let mut salts = self.rng.clone();
+        self.members.values_mut().for_each(|member| member.start_salt = salts.next_u64());
         self.groups = learned_state.groups;
         self.load.sojourns = learned_state.sojourns;
         let work = learned_state.served_rate * self.shortest_latency_target as f64;
--- a/crates/policy/src/router/admission.rs
+++ b/crates/policy/src/router/admission.rs
@@ -45,6 +45,7 @@
         if arrival.class >= self.settings.classes.len() {
             return self.reject(&arrival, 0);
         }
+        self.record_asked(arrival.group, self.settings.classes[arrival.class].latency_target);
         self.adapt_typical_time(&arrival);
         if self.is_shed(&self.settings.classes[arrival.class], uniform_sample) {
             return self.reject(&arrival, self.settings.max_retry_after);
@@ -92,9 +93,11 @@
         let time_left = arrival.time_left;
         let request = Request {
             id: arrival.request.clone(),
+            sequence,
             class: arrival.class,
             group: arrival.group,
             first_arrived_at: self.now - age,
+            arrived_at: self.now,
             deadline: (self.now + time_left).min(self.settings.final_answer_by),
             unsent_deadline: self.now + (time_left / 2 - self.settings.client_round_trip).max(time_left / 4),
             minimum_position: arrival.minimum_position,
--- a/crates/policy/src/router/concurrency.rs
+++ b/crates/policy/src/router/concurrency.rs
@@ -46,6 +46,12 @@
 
     /// Whether a member may take one more attempt of this class, with this share of the quota open to it.
     pub(super) fn has_capacity(&self, id: MemberId, share: f64, class: usize) -> bool {
+        let Some(member) = self.members.get(&id) else { return false };
+        self.has_concurrency(id, share) && self.has_slow_start_budget(member, class)
+    }
+
+    /// The same without regard to its slow start.
+    pub(super) fn has_concurrency(&self, id: MemberId, share: f64) -> bool {
         let Some(member) = self.members.get(&id) else { return false };
         let limit = if member.consecutive_failures >= SINGLE_ATTEMPT_FAILURES {
             1.0
@@ -53,9 +59,7 @@
             member.concurrency_limit * self.quota_part(member.group) * share
         };
         let in_flight = f64::from(member.in_flight.saturating_sub(member.presumed_lost));
-        in_flight < limit.max(1.0)
-            && self.now >= member.paced_until
-            && self.has_slow_start_budget(member, class)
+        in_flight < limit.max(1.0) && self.now >= member.paced_until
     }
 }
 
--- a/crates/policy/src/router/dispatch.rs
+++ b/crates/policy/src/router/dispatch.rs
@@ -27,7 +27,7 @@
             && has_no_second_effect
             && in_service
             && fresh
-            && self.has_slow_start_budget(member, request.class)
+            && self.may_send_warming(request, id, member)
     }
 
     fn has_no_second_effect(&self, request: &Request, effect: Effect, id: MemberId, member: &Member) -> bool {
--- a/crates/policy/src/router/endpoints.rs
+++ b/crates/policy/src/router/endpoints.rs
@@ -46,6 +46,7 @@
     fn start_member(&mut self, entry: &Entry) {
         let mut member = self.new_member(entry);
         member.start_tokens = self.initial_start_tokens();
+        member.start_salt = member.start_tokens.to_bits();
         if let Some(earlier) = self.members.get(&entry.member) {
             member.in_flight = earlier.in_flight;
             member.replica_evidence_at = earlier.replica_evidence_at;
--- a/crates/policy/src/router/health.rs
+++ b/crates/policy/src/router/health.rs
@@ -197,6 +197,7 @@
         self.indexes.set_down(id, member, false);
         member.recovered_at = self.now;
         member.start_tokens = start_tokens;
+        member.start_salt = start_tokens.to_bits();
         member.start_tokens_at = self.now;
         member.concurrency_limit = INITIAL_CONCURRENCY_LIMIT.min(member.concurrency_limit);
         self.note(format!("member {id} answers again"));
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -55,7 +55,7 @@
     settings: Settings,
     /// This router's even part in the limits of the members (fraction).
     base_quota: f64,
-    rng: SeededRng,
+    pub(crate) rng: SeededRng,
     /// The hosts' clock in relation to `now`.
     pub(crate) fleet_clock: FleetClock,
     /// Time of the current step.
--- a/crates/policy/src/router/overload.rs
+++ b/crates/policy/src/router/overload.rs
@@ -1,7 +1,7 @@
 //! Overload of the members as a whole: the share of reads that is shed, and the load that members carry.
 
 use super::Router;
-use crate::interface::{Class, Ending, MemberId, Need, Time};
+use crate::interface::{Class, Ending, GroupId, MemberId, Need, Time};
 use crate::state::Sample;
 
 /// Sojourn (share of the latency target) that a third of the answers may pass before the members as a whole
@@ -33,6 +33,23 @@
         self.load.carried_rate * (-age / CARRIED_RATE_SPAN).exp()
     }
 
+    /// Work that clients ask of a group a second, as of now: a decaying mean as that of what members carry.
+    pub(super) fn current_asked_rate(&self, group: GroupId) -> f64 {
+        let Some(state) = self.groups.get(&group) else { return 0.0 };
+        let age = (self.now - state.asked_rate_at) as f64;
+        state.asked_rate * (-age / CARRIED_RATE_SPAN).exp()
+    }
+
+    /// Counts the work of a request that has come.
+    pub(super) fn record_asked(&mut self, group: GroupId, latency_target: Time) {
+        let rate = latency_target as f64 * MICROSECONDS_PER_SECOND / CARRIED_RATE_SPAN;
+        let rate = self.current_asked_rate(group) + rate;
+        let now = self.now;
+        if let Some(state) = self.groups.get_mut(&group) {
+            (state.asked_rate, state.asked_rate_at) = (rate, now);
+        }
+    }
+
     /// Counts the work of an answer that a member served, divided by the members that there are now: a
     /// mean over seconds, divided by the members left at its end, would grow when members leave. A
     /// warming member would do more if it were warm.
--- a/crates/policy/src/router/reads.rs
+++ b/crates/policy/src/router/reads.rs
@@ -97,7 +97,10 @@
         for id in self.group_members(request.group).iter().copied() {
             let is_primary = Some(id) == primary;
             let share = if is_primary { PRIMARY_READ_SHARE } else { 1.0 };
-            let is_free = self.is_selectable(id) && self.has_capacity(id, share, request.class);
+            let Some(member) = self.members.get(&id) else { continue };
+            let is_free = self.is_selectable(id)
+                && self.has_concurrency(id, share)
+                && self.may_send_warming(request, id, member);
             if is_free && !self.was_just_tried(request, id) && (!only_primary || is_primary) {
                 usable.push(id);
             }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -156,6 +156,9 @@
     /// Work (microseconds of latency target) that its slow-start budget had taken in and not spent at `start_tokens_at`.
     pub(crate) start_tokens: f64,
     pub(crate) start_tokens_at: Time,
+    /// By which new requests are drawn for it while it warms up. Not left to the next process.
+    #[serde(skip)]
+    pub(crate) start_salt: u64,
 }
 
 impl Member {
@@ -178,6 +181,12 @@
     pub(crate) last_discovery_at: Time,
     /// Quota borrowed from other routers, or lent to them.
     pub(crate) quota_adjustment: QuotaAdjustment,
+    /// Work (microseconds of latency target) that its clients asked for a second as of `asked_rate_at`. Not left to the
+    /// next process.
+    #[serde(skip)]
+    pub(crate) asked_rate: f64,
+    #[serde(skip)]
+    pub(crate) asked_rate_at: Time,
 }
 
 /// An attempt, as its request knows it.
@@ -198,10 +207,13 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Request {
     pub(crate) id: RequestId,
+    pub(crate) sequence: u64,
     pub(crate) class: usize,
     pub(crate) group: GroupId,
     /// When the client's first try came, as far as that shows.
     pub(crate) first_arrived_at: Time,
+    /// When it came here.
+    pub(crate) arrived_at: Time,
     /// When its client gives up this try.
     pub(crate) deadline: Time,
     /// A request never sent is given up by then: half of its time is over.
--- a/tests/slow_start_fleet.rs
+++ b/tests/slow_start_fleet.rs
@@ -30,6 +30,7 @@
             load: 0.75,
             long_share: 0.1,
             slow_start: SLOW_START,
+            hosts_ahead_ms: 0,
             seed,
         };
         let fleet = play(plan, |fleet| async move {
