--- a/tests/faulty_fleet/gateways.rs
+++ b/tests/faulty_fleet/gateways.rs
@@ -41,6 +41,8 @@
     pub signals: RefCell<Vec<(Time, Signal)>>,
     /// Processes that ended though nothing ended them.
     pub crashes: Cell<usize>,
+    /// It is being stopped or killed, and started again: no other fault does so meanwhile.
+    replaced: Cell<bool>,
     /// Nobody else is given its port.
     _port: ReservedPort,
 }
@@ -69,6 +71,7 @@
             child: RefCell::default(),
             signals: RefCell::default(),
             crashes: Cell::new(0),
+            replaced: Cell::new(false),
             _port: port,
         })
     }
@@ -127,6 +130,17 @@
         }
     }
 
+    /// Begins a replacement of its process, unless one is under way.
+    pub fn begin_replacement(&self) -> bool {
+        !self.replaced.replace(true)
+    }
+
+    /// Ends a replacement with a new process.
+    pub fn end_replacement(&self) {
+        self.start();
+        self.replaced.set(false);
+    }
+
     /// SIGKILL, at once.
     pub fn kill(&self) {
         self.check_crash();
