--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -25,6 +25,8 @@
 pub struct Client {
     stream: TcpStream,
     reader: BufReader<TcpStream>,
+    /// The body of BackendKeyData, by which a query of this connection can be cancelled.
+    pub cancel_key: Vec<u8>,
 }
 
 impl Client {
@@ -33,11 +35,12 @@
         let stream = TcpStream::connect(address)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(20)))?;
-        let mut client = Client { reader: BufReader::new(stream.try_clone()?), stream };
+        let mut client = Client { reader: BufReader::new(stream.try_clone()?), stream, cancel_key: Vec::new() };
         client.stream.write_all(&wire::startup())?;
         loop {
             match wire::read_message(&mut client.reader)? {
                 (b'Z', _) => return Ok(client),
+                (b'K', body) => client.cancel_key = body,
                 (b'E', body) => return Err(io::Error::other(wire::error_field(&body, b'C'))),
                 _ => {}
             }
--- a/review/standins/gateway.rs
+++ b/review/standins/gateway.rs
@@ -199,3 +199,16 @@
         let _ = fs::write(&path, others.map(|pid| format!("{pid}\n")).collect::<String>());
     }
 }
+
+/// Sends an operator's command. Returns the line that answers it; empty if there is none.
+pub fn operator_command(address: SocketAddr, command: &str) -> String {
+    let ask = || -> std::io::Result<String> {
+        let mut stream = std::net::TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+        writeln!(stream, "{command}")?;
+        let mut line = String::new();
+        std::io::BufRead::read_line(&mut std::io::BufReader::new(stream), &mut line)?;
+        Ok(line)
+    };
+    ask().unwrap_or_default()
+}
--- a/review/standins/mod.rs
+++ b/review/standins/mod.rs
@@ -9,6 +9,7 @@
 pub mod gateway;
 pub mod host;
 pub mod record;
+pub mod replicas;
 pub mod wire;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
