--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -73,7 +73,8 @@
         };
         self.answers.fetch_add(1, Ordering::Relaxed);
         let position = wire::parameter("log_position", &(unix_ms() + 1).to_string());
-        connection.write(&[answer, wire::parameter("replication_role", role), position, wire::ready()].concat())
+        connection
+            .write(&[answer, wire::parameter("replication_role", role), position, wire::ready()].concat())
     }
 
     /// Runs an order. The first answer to it is an error that leaves open whether it has run.
@@ -151,9 +152,6 @@
             listen: gateway::free_address(),
             discovery: &discovery,
             settings: settings(UNSAFE),
-            operator_file: None,
-            accept_socket: None,
-            ops: None,
         },
     );
     if !gateway.wait_until_ready() {
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -11,18 +11,18 @@
 WORK=$(mktemp -d) || exit 2
 RECORD=$folder/record.txt
 export RUN WORK RECORD
-finish() {
-    kill -9 "$pid" 2>/dev/null
+# Ends the gateways that are still running, and removes the temporary folder.
+clean() {
     while read -r started; do kill -9 "$started" 2>/dev/null; done <"$WORK/pids"
     rm -rf "$WORK"
 }
 : >"$WORK/pids"
 "$program" &
 pid=$!
-trap 'finish; exit 2' INT TERM HUP
+trap 'kill -9 "$pid" 2>/dev/null; clean; exit 2' INT TERM HUP
 wait "$pid"
 code=$?
 cp "$WORK"/*.log "$folder"/ 2>/dev/null
-finish
+clean
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -25,8 +25,6 @@
 pub struct Client {
     stream: TcpStream,
     reader: BufReader<TcpStream>,
-    /// The body of BackendKeyData, by which a query of this connection can be cancelled.
-    pub cancel_key: Vec<u8>,
 }
 
 impl Client {
@@ -35,12 +33,11 @@
         let stream = TcpStream::connect(address)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(20)))?;
-        let mut client = Client { reader: BufReader::new(stream.try_clone()?), stream, cancel_key: Vec::new() };
+        let mut client = Client { reader: BufReader::new(stream.try_clone()?), stream };
         client.stream.write_all(&wire::startup())?;
         loop {
             match wire::read_message(&mut client.reader)? {
                 (b'Z', _) => return Ok(client),
-                (b'K', body) => client.cancel_key = body,
                 (b'E', body) => return Err(io::Error::other(wire::error_field(&body, b'C'))),
                 _ => {}
             }
@@ -86,15 +83,4 @@
         self.send(text)?;
         self.receive()
     }
-
-    /// Whether the gateway has closed the connection.
-    pub fn is_closed(&self) -> bool {
-        let _ = self.stream.set_nonblocking(true);
-        let read = self.stream.peek(&mut [0]);
-        let _ = self.stream.set_nonblocking(false);
-        match read {
-            Ok(count) => count == 0,
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-        }
-    }
 }
--- a/review/standins/gateway.rs
+++ b/review/standins/gateway.rs
@@ -92,12 +92,6 @@
     pub discovery: &'a Discovery,
     /// The settings.
     pub settings: String,
-    /// The operator's file, if any.
-    pub operator_file: Option<&'a str>,
-    /// The clients' listening socket that the platform holds, to be inherited as descriptor 3.
-    pub accept_socket: Option<&'a TcpListener>,
-    /// The address for operators' commands.
-    pub ops: Option<SocketAddr>,
 }
 
 /// A running gateway. Dropping it kills it.
@@ -114,12 +108,11 @@
 impl Gateway {
     /// Starts a gateway.
     pub fn start(record: &Record, options: Options) -> Gateway {
-        let Options { label, listen, discovery, settings, operator_file, accept_socket, ops } = options;
+        let Options { label, listen, discovery, settings } = options;
         let known = discovery.list();
         let seed = super::unix_ms() ^ 0x8c1f_30d2_7a5b_e964;
-        let ops = ops.map_or(String::new(), |ops| format!(r#""ops":"{ops}","#));
         let config = format!(
-            r#"{{"name":"n1","listen":"{listen}","discovery":"{}","seed":"{seed:016x}",{ops}"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":SETTINGS}}"#,
+            r#"{{"name":"n1","listen":"{listen}","discovery":"{}","seed":"{seed:016x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":SETTINGS}}"#,
             discovery.address
         );
         let config_path = folder().join(format!("{label}.json"));
@@ -127,24 +120,24 @@
         let log = File::create(folder().join(format!("{label}.log"))).expect("the log can be created");
         let run = std::env::var("RUN").expect("RUN is the deploy file's run");
         let mut command = Command::new("/bin/sh");
-        command.env_remove("PETRELGAUGE_FILE").env_remove("GW_ACCEPT_FD").env_remove("RUST_LOG");
-        command.env("GW_CONFIG", &config_path).env("TMPDIR", folder());
-        if let Some(text) = operator_file {
-            let path = folder().join(format!("{label}.cue"));
-            fs::write(&path, text).expect("the operator's file is written");
-            command.env("PETRELGAUGE_FILE", path);
-        }
-        if let Some(socket) = accept_socket {
-            // The shell moves the socket from its standard input to descriptor 3.
-            let socket = socket.try_clone().expect("a descriptor can be copied");
-            command.stdin(Stdio::from(std::os::fd::OwnedFd::from(socket)));
-            command.env("GW_ACCEPT_FD", "3").arg("-c").arg(format!("exec 3<&0 </dev/null; {run}"));
-        } else {
-            command.stdin(Stdio::null()).arg("-c").arg(&run);
+        let unset = [
+            "PETRELGAUGE_FILE",
+            "GW_ACCEPT_FD",
+            "GW_NAME",
+            "GW_LISTEN",
+            "GW_DISCOVERY",
+            "GW_OPS",
+            "RUST_LOG",
+        ];
+        for name in unset {
+            command.env_remove(name);
         }
+        command.env("GW_CONFIG", &config_path).env("TMPDIR", folder());
+        command.stdin(Stdio::null()).arg("-c").arg(&run);
         command.stdout(Stdio::null()).stderr(Stdio::from(log));
         let child = command.spawn().expect("the gateway starts");
-        let mut pids = OpenOptions::new().append(true).create(true).open(folder().join("pids")).expect("pids");
+        let mut pids =
+            OpenOptions::new().append(true).create(true).open(folder().join("pids")).expect("pids");
         let _ = writeln!(pids, "{}", child.id());
         record.line(format!("gateway {label} started"));
         Gateway { listen, label: label.to_string(), config_path, config, child, record: record.clone() }
@@ -167,15 +160,34 @@
     /// Sends a signal.
     pub fn signal(&self, name: &str) {
         self.record.line(format!("SIG{name} to gateway {}", self.label));
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        let kill = format!("kill -{name} {}", self.child.id());
+        let _ = Command::new("/bin/sh").arg("-c").arg(kill).status();
+    }
+
+    /// Prepares a signal, so that it can be sent without the delay of starting a process.
+    pub fn prepare_signal(&self, name: &str) -> PreparedSignal {
+        let mut command = Command::new("/bin/sh");
+        command.arg("-c").arg(format!("read -r line && kill -{name} {}", self.child.id()));
+        command.stdin(Stdio::piped()).stdout(Stdio::null()).stderr(Stdio::null());
+        let child = command.spawn().expect("a shell starts");
+        PreparedSignal {
+            child,
+            text: format!("SIG{name} to gateway {}", self.label),
+            record: self.record.clone(),
+        }
     }
 
     /// Replaces the settings in the configuration and sends SIGHUP.
     pub fn reload(&self, settings: &str) {
+        self.replace_settings(settings);
+        self.signal("HUP");
+    }
+
+    /// Replaces the settings in the configuration.
+    pub fn replace_settings(&self, settings: &str) {
         let new = self.config_path.with_extension("new");
         fs::write(&new, self.config.replace("SETTINGS", settings)).expect("the configuration is written");
         fs::rename(&new, &self.config_path).expect("the configuration is replaced");
-        self.signal("HUP");
     }
 
     /// Its exit code once it has ended; -1 if a signal ended it.
@@ -189,6 +201,28 @@
     }
 }
 
+/// A signal that is ready to be sent. Dropping it sends nothing.
+pub struct PreparedSignal {
+    child: Child,
+    text: String,
+    record: Record,
+}
+
+impl PreparedSignal {
+    /// Sends it.
+    pub fn send(mut self) {
+        let _ = self.child.stdin.take().map(|mut input| input.write_all(b"now\n"));
+        self.record.line(&self.text);
+    }
+}
+
+impl Drop for PreparedSignal {
+    fn drop(&mut self) {
+        drop(self.child.stdin.take());
+        let _ = self.child.wait();
+    }
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -199,16 +233,3 @@
         let _ = fs::write(&path, others.map(|pid| format!("{pid}\n")).collect::<String>());
     }
 }
-
-/// Sends an operator's command. Returns the line that answers it; empty if there is none.
-pub fn operator_command(address: SocketAddr, command: &str) -> String {
-    let ask = || -> std::io::Result<String> {
-        let mut stream = std::net::TcpStream::connect(address)?;
-        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
-        writeln!(stream, "{command}")?;
-        let mut line = String::new();
-        std::io::BufRead::read_line(&mut std::io::BufReader::new(stream), &mut line)?;
-        Ok(line)
-    };
-    ask().unwrap_or_default()
-}
--- a/review/standins/host.rs
+++ b/review/standins/host.rs
@@ -1,9 +1,9 @@
 //! A database host: accepts any user and answers one query at a time on each connection.
 
-use super::wire;
+use super::{sleep_ms, wire};
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{mpsc, Arc};
 use std::thread;
 
 /// A query that a gateway sent.
@@ -37,10 +37,21 @@
     }
 }
 
+/// How a host's bytes travel: in order, in pieces with pauses between them.
+#[derive(Clone, Copy)]
+pub struct Pieces {
+    /// Size of the largest piece (bytes).
+    pub size: usize,
+    /// Time between two pieces (milliseconds).
+    pub pause_ms: u64,
+}
+
 /// A gateway's connection to a host.
 pub struct HostConnection {
     /// The stream.
     pub stream: TcpStream,
+    /// The queue of pieces, once there is one.
+    pieces: Option<mpsc::Sender<Vec<u8>>>,
 }
 
 impl HostConnection {
@@ -49,6 +60,30 @@
         self.stream.write_all(bytes)
     }
 
+    /// Writes bytes in pieces, behind those that were written so before. Does not wait.
+    pub fn write_in_pieces(&mut self, bytes: &[u8], pieces: Pieces) -> io::Result<()> {
+        if self.pieces.is_none() {
+            let (sender, queued) = mpsc::channel::<Vec<u8>>();
+            let mut stream = self.stream.try_clone()?;
+            thread::spawn(move || {
+                for piece in queued {
+                    if stream.write_all(&piece).is_err() {
+                        return;
+                    }
+                    sleep_ms(pieces.pause_ms);
+                }
+            });
+            self.pieces = Some(sender);
+        }
+        for piece in bytes.chunks(pieces.size) {
+            let sent = self.pieces.as_ref().map(|sender| sender.send(piece.to_vec()));
+            if !matches!(sent, Some(Ok(()))) {
+                return Err(io::Error::from(io::ErrorKind::BrokenPipe));
+            }
+        }
+        Ok(())
+    }
+
     /// Whether the gateway has sent something that has not been read.
     pub fn has_waiting(&self) -> bool {
         let _ = self.stream.set_nonblocking(true);
@@ -86,7 +121,7 @@
     stream.set_nodelay(true)?;
     wire::read_startup(&mut stream)?;
     stream.write_all(&[wire::message(b'R', &[0; 4]), wire::ready()].concat())?;
-    let mut connection = HostConnection { stream };
+    let mut connection = HostConnection { stream, pieces: None };
     loop {
         let (kind, body) = wire::read_message(&mut connection.stream)?;
         if kind != b'Q' {
--- a/review/standins/mod.rs
+++ b/review/standins/mod.rs
@@ -9,7 +9,6 @@
 pub mod gateway;
 pub mod host;
 pub mod record;
-pub mod replicas;
 pub mod wire;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
