--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -9,8 +9,7 @@
 RUN=$(sed -n 's/^run = "\(.*\)".*/\1/p' deploy/balancer.toml)
 [ -n "$RUN" ] || { echo "the deploy file names no run command" >&2; exit 2; }
 WORK=$(mktemp -d) || exit 2
-RECORD=$folder/record.txt
-export RUN WORK RECORD
+export RUN WORK
 # Ends the gateways that are still running, and removes the temporary folder.
 clean() {
     while read -r started; do kill -9 "$started" 2>/dev/null; done <"$WORK/pids"
