--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -72,6 +72,9 @@
             }
         };
         self.answers.fetch_add(1, Ordering::Relaxed);
+        if class != "standing-order" {
+            self.record.line(format!("{role} runs id={} class={class} and answers it", query.field("id")));
+        }
         let position = wire::parameter("log_position", &(unix_ms() + 1).to_string());
         connection
             .write(&[answer, wire::parameter("replication_role", role), position, wire::ready()].concat())
@@ -94,13 +97,16 @@
     }
 }
 
-fn run_other_client(gateway: SocketAddr, number: u64, is_over: &AtomicBool) {
+fn run_other_client(record: &Record, gateway: SocketAddr, number: u64, is_over: &AtomicBool) {
     let mut count = 0;
     while !is_over.load(Ordering::Relaxed) {
         let Ok(mut client) = Client::connect(gateway) else { return };
         loop {
             count += 1;
-            let answer = client.ask(&format!("SELECT content FROM kv WHERE name = 'acct-{number}' /* id={number:02x}{count:06x},c=history-browse,d=1500,cluster={GROUP} */"));
+            let text = format!("SELECT content FROM kv WHERE name = 'acct-{number}' /* id={number:02x}{count:06x},c=history-browse,d=1500,cluster={GROUP} */");
+            record.line(format!("client {number} sends {text}"));
+            let answer = client.ask(&text);
+            record.line(format!("client {number} has the answer to its request {count}: {answer:?}"));
             if answer.is_err() || is_over.load(Ordering::Relaxed) {
                 break;
             }
@@ -161,8 +167,8 @@
     }
     let is_over = Arc::new(AtomicBool::new(false));
     for number in 1..=OTHER_CLIENTS {
-        let (is_over, listen) = (is_over.clone(), gateway.listen);
-        thread::spawn(move || run_other_client(listen, number, &is_over));
+        let (record, is_over, listen) = (record.clone(), is_over.clone(), gateway.listen);
+        thread::spawn(move || run_other_client(&record, listen, number, &is_over));
     }
     sleep_ms(2_000);
     let (mut twice, mut rounds) = (0, 0);
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -56,8 +56,8 @@
         let role = wire::parameter("replication_role", role);
         let answer = [wire::row(b"value", "SELECT 1"), role, position, wire::ready()].concat();
         connection.write(&answer)?;
+        self.record.line(format!("host has run and answered id={}", query.field("id")));
         if is_statement {
-            self.record.line(format!("host has answered id={}", query.field("id")));
             if let Some((signal, delay_ms)) = self.reload.lock().expect("not poisoned").take() {
                 sleep_ms(delay_ms);
                 signal.send();
@@ -80,7 +80,10 @@
         loop {
             count += 1;
             let id = format!("{number:02x}{count:06x}");
-            let answer = client.ask(&format!("SELECT content FROM kv WHERE name = 'acct-{number}' /* id={id},c=history-browse,d=1500,cluster={GROUP} */"));
+            let text = format!("SELECT content FROM kv WHERE name = 'acct-{number}' /* id={id},c=history-browse,d=1500,cluster={GROUP} */");
+            record.line(format!("client {number} sends {text}"));
+            let answer = client.ask(&text);
+            record.line(format!("client {number} has the answer to id={id}: {answer:?}"));
             if is_over.load(Ordering::Relaxed) {
                 return;
             }
