A class keeps its index until the router has stepped over the end of its last attempt

Hypotheses: (1) the router looks up a class when it steps over an outcome that was reported before the reload; (2) the request table does so when it checks an answer's age; (3) the arrival of a request is stepped after its class went. The place of the panic in the log tells them apart: it is router/outcomes.rs:38, "the len is 4 but the index is 6", so (1); (2) would be class_table.rs and (3) admission.rs.

Cause: the classes in use at a reload were those of open requests and of attempts without a report. A reported attempt is in neither, but its outcome waits for the next step, up to granularity_us later, and the step looks its class up. If the index was cut off, the process ended. If it was overwritten or given to another class, nothing ended and the outcome counted for a wrong class.

Change: the classes in use are read off everything that looks one up again: open requests, attempts, queued arrivals, and the requests and attempts of the router itself. A class is forgotten only once the router has stepped.

--- a/crates/lifecycle/src/request_table/admission.rs
+++ b/crates/lifecycle/src/request_table/admission.rs
@@ -6,10 +6,11 @@
 };
 use crate::class_table::{IdempotencyKey, TooManyClasses};
 use petrelgauge_policy::{
-    Entry, Event, GroupId, MemberStatus, Need, RequestArrival, RequestId, Settings, Time, Update,
+    Class, Entry, Event, GroupId, MemberStatus, Need, RequestArrival, RequestId, Settings, Time, Update,
     ASSUMED_KNOWN_AFTER,
 };
 use petrelgauge_sessions::{MinimumPosition, SessionKey};
+use std::collections::BTreeSet;
 
 impl RequestTable {
     /// Sets the maximum number of requests that can be open at a time.
@@ -26,6 +27,11 @@
         Some(ClassLookup { index, class: self.classes.class(index).clone() })
     }
 
+    /// The class with this index; none if the index is free and past the end of the table.
+    pub fn class(&self, index: usize) -> Option<&Class> {
+        self.classes.table().get(index)
+    }
+
     /// The longest deadline of the classes with this name (microseconds); see
     /// [`ClassTable::longest_class_deadline`](crate::class_table::ClassTable::longest_class_deadline).
     pub fn longest_class_deadline(&self, now: Time, name: &str) -> Time {
@@ -71,11 +77,11 @@
         if self.session_tracker.is_none() && !session_classes.is_empty() {
             return Err(SettingsRejected::SessionsDisabled);
         }
-        let attempt_classes = self.attempts_in_flight.values().map(|attempt| attempt.class);
-        let used = self.open_requests.values().map(|open| open.class).chain(attempt_classes).collect();
         let mut classes = self.classes.clone();
         let new_classes = std::mem::take(&mut settings.classes);
-        classes.update(now, new_classes, &used).map_err(|TooManyClasses| SettingsRejected::TooManyClasses)?;
+        classes
+            .update(now, new_classes, &self.classes_in_use())
+            .map_err(|TooManyClasses| SettingsRejected::TooManyClasses)?;
         // These two are set at run time and not by the settings.
         settings.discovery_interval_factor = self.settings.discovery_interval_factor;
         settings.final_answer_by = self.settings.final_answer_by;
@@ -90,6 +96,19 @@
         Ok(())
     }
 
+    /// The indexes of all classes that anything will look up again: those of open requests, of attempts in
+    /// flight, of queued arrivals, and of what the router knows. The router learns with its next step that a
+    /// request or an attempt has ended, and looks up its class then.
+    fn classes_in_use(&self) -> BTreeSet<usize> {
+        let open = self.open_requests.values().map(|open| open.class);
+        let in_flight = self.attempts_in_flight.values().map(|attempt| attempt.class);
+        let arriving = self.pending_events.iter().filter_map(|event| match event {
+            Event::Request(arrival) => Some(arrival.class),
+            _ => None,
+        });
+        open.chain(in_flight).chain(arriving).chain(self.router.classes_in_use()).collect()
+    }
+
     /// The settings with all classes of the table.
     pub(super) fn settings_with_classes(&self) -> Settings {
         Settings { classes: self.classes.table().to_vec(), ..self.settings.clone() }
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -119,7 +119,8 @@
         Ok(router)
     }
 
-    /// Replaces the settings. Classes of open requests and of attempts in flight must keep their indexes.
+    /// Replaces the settings. The [classes in use](Router::classes_in_use) must keep their indexes, and so must
+    /// those in events that have not been passed to [`Router::step`] yet.
     ///
     /// # Errors
     ///
@@ -137,6 +138,13 @@
         Ok(())
     }
 
+    /// The indexes of the classes of all requests and attempts whose end the router has not been told yet. An
+    /// index may occur more than once.
+    pub fn classes_in_use(&self) -> impl Iterator<Item = usize> + '_ {
+        let requests = self.requests.values().map(|request| request.class);
+        requests.chain(self.in_flight.iter().map(|attempt| attempt.class))
+    }
+
     /// The estimate of the hosts' clock. Times of different machines must be compared only through it.
     pub fn host_clock(&self) -> &HostClock {
         &self.host_clock
