A query keeps the class under which it was received, whenever its turn comes

Hypotheses: (1) the class is looked up when the query's turn comes; (2) it is looked up in time, but its slot in the table is overwritten by the reload; (3) retries follow the settings in force. Neither log nor counters could tell, so the line `request ended` has settings_version now. Played with that line alone, a query sent under version 1 showed settings_version=4: so (1).

Cause: queries read ahead are kept as text. Their class was looked up when they were admitted, in the settings of that moment; the time of arrival was passed along and used only for the overlap with one earlier version.

Change: a client's reader notes under which settings each message was received, and holds these settings until the query is admitted; what is held stays in the class table. At a reload the reader asks the kernel how many bytes wait unread (ioctl_fionread of the crate rustix), so that bytes it has not read are told apart from those that come later. The same holds for the limits on waiting and for classes that are dropped meanwhile.

The model `rules` now has queries that wait, and `reloads` has attempts and the router's steps; with the old lookup put back (ClassFoundAtTurn) and with the old classes in use (ReportedClassForgotten) they break after 3 and 7 events.

In the model `rules` the two requests that were admitted at once are two queries that wait first; its property on names in force holds for those that are received, with the newest rules as soon as all clients know them.

--- a/crates/lifecycle/src/class_table.rs
+++ b/crates/lifecycle/src/class_table.rs
@@ -5,12 +5,17 @@
 //! added next to those still in use: an unchanged class keeps its index, a changed or new one gets a free
 //! index or extends the table. Old and new classes coexist, and each request has exactly one of them.
 //!
-//! For [`OVERLAP`] after a change a removed class is still found, and a request without an idempotency key
-//! finds the previous form of a class that now requires one: clients learn of the change later than the
-//! gateway.
+//! A query may wait behind others of its connection before it is admitted. Its class is that of the settings
+//! under which the gateway received it, so whoever reads queries [holds](ClassTable::hold) these settings and
+//! names them to [`ClassTable::find`]. What is held stays in the table.
 //!
-//! **Bounds.** The table holds the classes in force, those before the last change, and those of open
-//! requests: at most [`MAX_CLASSES`]. A change that needs more is rejected.
+//! Clients learn of a change later than the gateway. For [`OVERLAP`] after a change,
+//! a removed class is still found, and a request without an idempotency key finds an earlier form of a class
+//! that now requires one.
+//!
+//! **Bounds.** The table holds the classes in force, those of the changes within [`OVERLAP`], those that are
+//! held, and those in use: at most [`MAX_CLASSES`]. A change that needs more is rejected. There is at most one
+//! set of classes for each hold, and the one in force.
 //!
 //! ```
 //! use petrelgauge_lifecycle::class_table::{ClassTable, IdempotencyKey, OVERLAP};
@@ -26,16 +31,18 @@
 //!     priority_weight: 1.0,
 //!     late_share: 0.0,
 //! };
-//! let mut classes = ClassTable::new(vec![class("view", Effect::Safe)]);
-//! let old = classes.find(0, "view", IdempotencyKey::Absent).expect("it is in force");
-//! let changed = vec![class("view", Effect::Unsafe)];
-//! classes.update(10, changed, &[old].into()).expect("the table has a free index");
-//! let new = classes.find(10, "view", IdempotencyKey::Absent).expect("it is in force");
-//! assert_eq!((classes.class(old).effect, classes.class(new).effect), (Effect::Safe, Effect::Unsafe));
+//! let mut classes = ClassTable::new(vec![class("view", Effect::Unsafe)]);
+//! let received_under = classes.hold();
+//! classes.update(10, vec![class("view", Effect::Safe)], &[].into()).expect("the table has a free index");
+//! let old = classes.find(received_under, 5, "view", IdempotencyKey::Absent).expect("it was in force");
+//! let in_force = classes.version_in_force();
+//! let new = classes.find(in_force, 10 + OVERLAP, "view", IdempotencyKey::Absent).expect("it is in force");
+//! assert_eq!((classes.class(old).effect, classes.class(new).effect), (Effect::Unsafe, Effect::Safe));
 //! ```
 
 use petrelgauge_policy::{mutant, Class, Effect, Mutant, Time};
 use std::collections::BTreeSet;
+use std::fmt;
 
 /// Most classes in the table (count). Only a misconfiguration that changes the settings hundreds of times
 /// within the longest deadline needs more.
@@ -53,30 +60,73 @@
     Absent,
 }
 
-/// The classes in force, and those that open requests still use.
+/// Identifies the classes of the settings under which a query was received: the version of the settings with
+/// which these classes came into force. A change of the settings that leaves all classes as they are does not
+/// count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ClassSetVersion(u64);
+
+impl fmt::Display for ClassSetVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// The classes in force, and those that queries and open requests still use.
 #[derive(Clone, Debug)]
 pub struct ClassTable {
     table: Vec<Class>,
-    /// Indexes of the classes in force, in the order of the settings.
-    in_force: Vec<usize>,
-    /// Indexes of the classes before the last change.
-    previous: Vec<usize>,
-    /// Clock time until which the previous classes are found.
-    previous_until: Time,
+    in_force: ClassSet,
+    /// Earlier sets that are held, in order of version.
+    held: Vec<ClassSet>,
     settings_version: u64,
 }
 
+/// The classes of one version of the settings.
+#[derive(Clone, Debug)]
+struct ClassSet {
+    version: ClassSetVersion,
+    /// Indexes of its classes, in the order of the settings.
+    classes: Vec<usize>,
+    /// Classes that clients may go on to use under these settings, newest first.
+    earlier: Vec<EarlierClasses>,
+    /// Number of holds.
+    holds: usize,
+}
+
+/// Classes of earlier settings that clients may still use.
+#[derive(Clone, Debug)]
+struct EarlierClasses {
+    /// Indexes of the classes, in the order of the settings.
+    classes: Vec<usize>,
+    /// Clock time until which clients may use them.
+    until: Time,
+}
+
+impl ClassSet {
+    /// The classes that clients may use at this time, newest first.
+    fn usable(&self, now: Time) -> impl Iterator<Item = &[usize]> {
+        let earlier = self.earlier.iter().filter(move |earlier| now < earlier.until);
+        std::iter::once(&self.classes[..]).chain(earlier.map(|earlier| &earlier.classes[..]))
+    }
+
+    /// The indexes of all classes that a holder of this set may find.
+    fn indexes(&self) -> impl Iterator<Item = usize> + '_ {
+        let earlier = self.earlier.iter().flat_map(|earlier| &earlier.classes);
+        self.classes.iter().chain(earlier).copied()
+    }
+}
+
 impl ClassTable {
     /// A table with the classes of the initial settings.
     pub fn new(classes: Vec<Class>) -> ClassTable {
-        let in_force = (0..classes.len()).collect();
-        ClassTable {
-            table: classes,
-            in_force,
-            previous: Vec::new(),
-            previous_until: Time::MIN,
-            settings_version: 1,
-        }
+        let in_force = ClassSet {
+            version: ClassSetVersion(1),
+            classes: (0..classes.len()).collect(),
+            earlier: Vec::new(),
+            holds: 0,
+        };
+        ClassTable { table: classes, in_force, held: Vec::new(), settings_version: 1 }
     }
 
     /// The classes by index, as the router gets them.
@@ -96,39 +146,86 @@
 
     /// Indexes of the classes in force, in the order of the settings.
     pub fn in_force(&self) -> &[usize] {
-        &self.in_force
+        &self.in_force.classes
+    }
+
+    /// The version of the classes in force.
+    pub fn version_in_force(&self) -> ClassSetVersion {
+        self.in_force.version
+    }
+
+    /// Holds the classes in force, so that [`ClassTable::find`] finds them after further changes. Each hold
+    /// has to be [released](ClassTable::release).
+    pub fn hold(&mut self) -> ClassSetVersion {
+        self.in_force.holds += 1;
+        self.in_force.version
     }
 
-    /// Indexes of the classes before the last change, for as long as clients may not know of it.
-    pub fn previous(&self, now: Time) -> &[usize] {
-        if now < self.previous_until {
-            &self.previous
-        } else {
-            &[]
+    /// Releases one hold. Classes that nobody holds are dropped with a later change.
+    pub fn release(&mut self, version: ClassSetVersion) {
+        if version == self.in_force.version {
+            self.in_force.holds = self.in_force.holds.saturating_sub(1);
+            return;
+        }
+        if let Some(set) = self.held.iter_mut().find(|set| set.version == version) {
+            set.holds = set.holds.saturating_sub(1);
         }
+        self.held.retain(|set| set.holds > 0);
+    }
+
+    /// The longest deadline (microseconds) of the classes in force. While clients may still use earlier
+    /// classes, the longest deadline of these if that is shorter.
+    pub fn longest_deadline(&self, now: Time) -> Time {
+        let longest = |indexes: &[usize]| indexes.iter().map(|index| self.table[*index].deadline).max();
+        self.in_force.usable(now).filter_map(longest).min().unwrap_or(0)
     }
 
-    /// The longest deadline (microseconds) of the classes with this name, the previous one included while
-    /// clients may not know of the change. 0 if there is no such class.
-    pub fn longest_class_deadline(&self, now: Time, name: &str) -> Time {
-        let indexes = self.in_force.iter().chain(self.previous(now));
-        let named = indexes.map(|index| &self.table[*index]).filter(|class| class.name == name);
-        named.map(|class| class.deadline).max().unwrap_or(0)
+    /// The longest deadline (microseconds) of the classes with this name that a client may have used for a
+    /// query that was received under settings of this version at this time. 0 if there is no such class.
+    pub fn longest_class_deadline(&self, version: ClassSetVersion, received_at: Time, name: &str) -> Time {
+        let named = self.named(version, received_at, name);
+        named.map(|index| self.table[index].deadline).max().unwrap_or(0)
     }
 
-    /// The index of the class that a new request names, by whether the request carries an idempotency key.
-    pub fn find(&self, now: Time, name: &str, key: IdempotencyKey) -> Option<usize> {
-        let named = |indexes: &[usize]| indexes.iter().copied().find(|index| self.table[*index].name == name);
-        let previous = || named(self.previous(now));
-        match named(&self.in_force) {
-            None => previous(),
-            Some(index) if key == IdempotencyKey::Present || !requires_key(self.class(index)) => Some(index),
-            // The client may not know yet that the class requires a key.
-            Some(index) => previous().filter(|old| !requires_key(self.class(*old))).or(Some(index)),
+    /// The index of the class that a query names which was received under settings of this version at this
+    /// time, by whether it carries an idempotency key. `version` must be held or in force.
+    ///
+    /// Of the forms of the class that the client may know, it is the newest that accepts the query.
+    pub fn find(
+        &self,
+        version: ClassSetVersion,
+        received_at: Time,
+        name: &str,
+        key: IdempotencyKey,
+    ) -> Option<usize> {
+        let accepts = |index: &usize| key == IdempotencyKey::Present || !requires_key(self.class(*index));
+        let named = || self.named(version, received_at, name);
+        named().find(accepts).or_else(|| named().next())
+    }
+
+    /// Indexes of the classes with this name that a client may have used, newest first. A class that did not
+    /// exist when the query was received has no earlier form to keep, and is found if it is in force.
+    fn named<'a>(
+        &'a self,
+        version: ClassSetVersion,
+        received_at: Time,
+        name: &'a str,
+    ) -> impl Iterator<Item = usize> + 'a {
+        let is_named = move |index: &usize| self.table.get(*index).is_some_and(|class| class.name == name);
+        let index_in = move |indexes: &[usize]| indexes.iter().copied().find(is_named);
+        let mut known = self.set(version).usable(received_at).filter_map(index_in).peekable();
+        let added = if known.peek().is_none() { index_in(&self.in_force.classes) } else { None };
+        known.chain(added)
+    }
+
+    fn set(&self, version: ClassSetVersion) -> &ClassSet {
+        if mutant(Mutant::ClassFoundAtTurn) {
+            return &self.in_force;
         }
+        self.held.iter().find(|set| set.version == version).unwrap_or(&self.in_force)
     }
 
-    /// Puts new classes in force. `used` are the indexes of the classes of open requests and attempts.
+    /// Puts new classes in force. `used` are the indexes of the classes of requests and attempts.
     ///
     /// # Errors
     ///
@@ -139,23 +236,54 @@
         classes: Vec<Class>,
         used: &BTreeSet<usize>,
     ) -> Result<(), TooManyClasses> {
-        let mut occupied: BTreeSet<usize> = used.iter().chain(&self.in_force).copied().collect();
-        occupied.extend(self.previous(now));
-        if mutant(Mutant::ClassIndexReused) {
-            occupied.clear();
-        }
+        self.forget_expired(now);
+        let mut occupied = self.occupied(now, used);
         let NewClasses { mut table, in_force } = self.with_classes(&classes, &mut occupied);
         clear_unused(&mut table, &occupied, &classes);
         if table.len() > MAX_CLASSES {
             return Err(TooManyClasses);
         }
-        self.previous = std::mem::replace(&mut self.in_force, in_force);
         self.table = table;
-        self.previous_until = now + OVERLAP;
         self.settings_version += 1;
+        if in_force != self.in_force.classes {
+            self.replace_set_in_force(now, in_force);
+        }
         Ok(())
     }
 
+    /// Forgets earlier classes that no client may use any more: their indexes become free, so they must not be
+    /// held by a query that is received later.
+    fn forget_expired(&mut self, now: Time) {
+        if self.in_force.holds == 0 {
+            self.in_force.earlier.retain(|earlier| now < earlier.until);
+        }
+    }
+
+    /// Indexes that new classes must not take: those in use, held, in force, or still known to clients.
+    fn occupied(&self, now: Time, used: &BTreeSet<usize>) -> BTreeSet<usize> {
+        if mutant(Mutant::ClassIndexReused) {
+            return BTreeSet::new();
+        }
+        let held = self.held.iter().chain(Some(&self.in_force).filter(|set| set.holds > 0));
+        let usable = self.in_force.usable(now).flatten().copied();
+        used.iter().copied().chain(held.flat_map(ClassSet::indexes)).chain(usable).collect()
+    }
+
+    /// Puts classes with these indexes in force.
+    fn replace_set_in_force(&mut self, now: Time, classes: Vec<usize>) {
+        let replaced = EarlierClasses { classes: self.in_force.classes.clone(), until: now + OVERLAP };
+        let in_force = ClassSet {
+            version: ClassSetVersion(self.settings_version),
+            classes,
+            earlier: vec![replaced],
+            holds: 0,
+        };
+        let replaced = std::mem::replace(&mut self.in_force, in_force);
+        if replaced.holds > 0 {
+            self.held.push(replaced);
+        }
+    }
+
     /// A copy of the table with these classes added, and their indexes, which are added to `occupied`.
     fn with_classes(&self, classes: &[Class], occupied: &mut BTreeSet<usize>) -> NewClasses {
         let (mut table, mut in_force) = (self.table.clone(), Vec::new());
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -7,6 +7,7 @@
 //! | --- | --- | --- |
 //! | `request_table/` | requests and their attempts | open, ended; in flight, reported |
 //! | `read_ahead.rs` | messages read ahead of the query that is being answered | reading, paused |
+//! | `received_settings.rs` | under which settings a message was received, when it waits while they change | |
 //! | `client.rs` | a client's connection | opening, idle, awaiting an answer, pausing, cut off, ended |
 //! | `request.rs` | a client's request in its session | waiting, attempt in flight, ended |
 //! | `exchange.rs` | an attempt on a connection | connecting, greeting, writing, waiting, answering, ended |
@@ -52,6 +53,7 @@
 pub mod idle_connection;
 pub mod ops;
 pub mod read_ahead;
+pub mod received_settings;
 pub mod request;
 pub mod request_table;
 pub mod verdict;
--- a/crates/lifecycle/src/request_table/admission.rs
+++ b/crates/lifecycle/src/request_table/admission.rs
@@ -4,10 +4,10 @@
     AttemptInFlight, ClassLookup, OpenRequest, Request, RequestTable, SessionNeed, SessionRef,
     SettingsRejected,
 };
-use crate::class_table::{IdempotencyKey, TooManyClasses};
+use crate::class_table::{ClassSetVersion, IdempotencyKey, TooManyClasses};
 use petrelgauge_policy::{
-    Class, Entry, Event, GroupId, MemberStatus, Need, RequestArrival, RequestId, Settings, Time, Update,
-    ASSUMED_KNOWN_AFTER,
+    mutant, Class, Entry, Event, GroupId, MemberStatus, Mutant, Need, RequestArrival, RequestId, Settings,
+    Time, Update, ASSUMED_KNOWN_AFTER,
 };
 use petrelgauge_sessions::{MinimumPosition, SessionKey};
 use std::collections::BTreeSet;
@@ -20,10 +20,33 @@
         let _ = self.router.apply_settings(self.settings_with_classes());
     }
 
-    /// The class that a new request names, by whether the request carries an idempotency key; see
-    /// [`ClassTable::find`](crate::class_table::ClassTable::find).
-    pub fn find_class(&self, now: Time, name: &str, key: IdempotencyKey) -> Option<ClassLookup> {
-        let index = self.classes.find(now, name, key)?;
+    /// The version of the classes in force, which changes whenever [`RequestTable::apply_settings`] has changed
+    /// a class.
+    pub fn class_version(&self) -> ClassSetVersion {
+        self.classes.version_in_force()
+    }
+
+    /// Holds the classes in force for queries that are received and not admitted yet; see
+    /// [`ClassTable::hold`](crate::class_table::ClassTable::hold).
+    pub fn hold_classes(&mut self) -> ClassSetVersion {
+        self.classes.hold()
+    }
+
+    /// Releases a hold.
+    pub fn release_classes(&mut self, version: ClassSetVersion) {
+        self.classes.release(version);
+    }
+
+    /// The class that a query names which was received under these settings at this time, by whether it
+    /// carries an idempotency key; see [`ClassTable::find`](crate::class_table::ClassTable::find).
+    pub fn find_class(
+        &self,
+        version: ClassSetVersion,
+        received_at: Time,
+        name: &str,
+        key: IdempotencyKey,
+    ) -> Option<ClassLookup> {
+        let index = self.classes.find(version, received_at, name, key)?;
         Some(ClassLookup { index, class: self.classes.class(index).clone() })
     }
 
@@ -34,8 +57,8 @@
 
     /// The longest deadline of the classes with this name (microseconds); see
     /// [`ClassTable::longest_class_deadline`](crate::class_table::ClassTable::longest_class_deadline).
-    pub fn longest_class_deadline(&self, now: Time, name: &str) -> Time {
-        self.classes.longest_class_deadline(now, name)
+    pub fn longest_class_deadline(&self, version: ClassSetVersion, received_at: Time, name: &str) -> Time {
+        self.classes.longest_class_deadline(version, received_at, name)
     }
 
     /// Sets the clock time by which every request that is admitted from now on must get its final answer.
@@ -45,13 +68,10 @@
         let _ = self.router.apply_settings(self.settings_with_classes());
     }
 
-    /// The longest deadline of the classes in force (microseconds). While clients may not know of the last
-    /// change, the longest deadline of the previous classes if that is shorter.
+    /// The longest deadline by which open requests may be reckoned (microseconds); see
+    /// [`ClassTable::longest_deadline`](crate::class_table::ClassTable::longest_deadline).
     pub fn longest_deadline(&self, now: Time) -> Time {
-        let longest =
-            |indexes: &[usize]| indexes.iter().map(|index| self.classes.class(*index).deadline).max();
-        let in_force = longest(self.classes.in_force()).unwrap_or(0);
-        longest(self.classes.previous(now)).map_or(in_force, |previous| previous.min(in_force))
+        self.classes.longest_deadline(now)
     }
 
     /// The version of the settings in force; see
@@ -106,7 +126,9 @@
             Event::Request(arrival) => Some(arrival.class),
             _ => None,
         });
-        open.chain(in_flight).chain(arriving).chain(self.router.classes_in_use()).collect()
+        let reported_only = mutant(Mutant::ReportedClassForgotten);
+        let queued = arriving.chain(self.router.classes_in_use()).filter(|_| !reported_only);
+        open.chain(in_flight).chain(queued).collect()
     }
 
     /// The settings with all classes of the table.
--- a/crates/lifecycle/tests/settings_changes.rs
+++ b/crates/lifecycle/tests/settings_changes.rs
@@ -52,7 +52,7 @@
 
 fn find(table: &RequestTable, now: Time, name: &str) -> usize {
     let ClassLookup { index, .. } =
-        table.find_class(now, name, IdempotencyKey::Absent).expect("the class is in force");
+        table.find_class(table.class_version(), now, name, IdempotencyKey::Absent).expect("it is in force");
     index
 }
 
--- a/crates/models/src/lib.rs
+++ b/crates/models/src/lib.rs
@@ -11,7 +11,8 @@
 //! | `connection/` | connections to one host that are reused: model `connection` |
 //! | `stop.rs` | SIGTERM, drain, resume and reload with requests open: model `stop` |
 //! | `watermarks.rs` | watermarks of a session, broadcast between two gateways: model `marks` |
-//! | `rules.rs` | settings that change under open requests: model `rules` |
+//! | `rules.rs` | settings that change under waiting queries and open requests: model `rules` |
+//! | `reloads.rs` | the same with attempts in flight and the router's steps: model `reloads` |
 //! | `ownership.rs` | acceptors, candidates and a fence: model `ownership` |
 //! | `placement.rs` | which acceptor should hold which shard: model `placement` |
 //! | `quota.rs` | quotas lent and granted: model `shares` |
@@ -30,6 +31,7 @@
 pub mod ownership;
 pub mod placement;
 pub mod quota;
+pub mod reloads;
 pub mod rules;
 pub mod stop;
 pub mod watermarks;
@@ -57,7 +59,7 @@
 }
 
 /// All models.
-pub const MODELS: [ModelEntry; 10] = [
+pub const MODELS: [ModelEntry; 11] = [
     ModelEntry {
         // One payment, two members, three attempts, one drain; time-out against late answer.
         name: "attempt",
@@ -112,10 +114,16 @@
         ],
     },
     ModelEntry {
-        // Three changes of settings while two requests are admitted, stay open and end.
+        // Three changes of settings while two queries wait, are admitted, stay open and end.
         name: "rules",
         run: rules::run,
-        detects: &[Mutant::ClassIndexReused],
+        detects: &[Mutant::ClassIndexReused, Mutant::ClassFoundAtTurn],
+    },
+    ModelEntry {
+        // Three changes of settings while a query waits, its request is in flight, and its end is stepped.
+        name: "reloads",
+        run: reloads::run,
+        detects: &[Mutant::ReportedClassForgotten],
     },
     ModelEntry {
         // Three acceptors, two candidates; messages lost, late and duplicated, one restart, a stalled lease
--- a/crates/models/src/rules.rs
+++ b/crates/models/src/rules.rs
@@ -1,21 +1,24 @@
-//! Model `rules`: settings change while requests are admitted and open. The class table is the gateway's own
-//! code.
+//! Model `rules`: settings change while queries wait for their turn and requests are open. The class table is
+//! the gateway's own code.
 
 use crate::check::{check, Report, World};
 use crate::Size;
-use petrelgauge_lifecycle::class_table::{ClassTable, IdempotencyKey, OVERLAP};
+use petrelgauge_lifecycle::class_table::{ClassSetVersion, ClassTable, IdempotencyKey, OVERLAP};
 use petrelgauge_policy::{Class, Effect, Need, Scope, Time};
 use std::collections::BTreeSet;
 
 const UNCHANGED: &str = "an open request keeps the class that it was admitted with";
-const CURRENT: &str = "a name in force is found with its newest rules, but by those who cannot know them yet";
-const BOUNDED: &str = "the table holds no more than what is in force, was, and is open";
+const RECEIVED: &str = "a query has the class under which it was received, whenever its turn comes";
+const CURRENT: &str = "a name is found with its newest rules once all clients know them";
+const BOUNDED: &str = "the table holds no more than what is in force, was, waits, and is open";
 
 /// A step of the model.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Step {
-    /// A request names this class, with an idempotency key or without.
-    RequestArrives(usize, bool),
+    /// The gateway receives a query that names this class, with an idempotency key or without.
+    QueryReceived(usize, bool),
+    /// The turn of the waiting query with this index comes.
+    TurnComes(usize),
     /// The open request with this index ends.
     RequestEnds(usize),
     /// These settings are applied.
@@ -24,6 +27,17 @@
     ClientsCatchUp,
 }
 
+/// A query that waits for its turn.
+#[derive(Clone, Debug)]
+struct Query {
+    name: usize,
+    key: IdempotencyKey,
+    version: ClassSetVersion,
+    received_at: Time,
+    /// The class that it had when it was received.
+    class: Option<Class>,
+}
+
 /// An open request, with the index and a copy of the class with which it was admitted.
 #[derive(Clone, Debug)]
 struct OpenRequest {
@@ -31,19 +45,33 @@
     class: Class,
 }
 
+/// Settings that are or were in force.
+#[derive(Clone, Debug)]
+struct AppliedSettings {
+    which: usize,
+    /// Clock time at which they were replaced.
+    replaced_at: Time,
+}
+
 #[derive(Clone, Debug)]
 struct Changes {
     now: Time,
     classes: ClassTable,
-    /// Number of the settings in force.
-    in_force: usize,
+    /// The newest last.
+    settings: Vec<AppliedSettings>,
+    queries: Vec<Query>,
     open: Vec<OpenRequest>,
-    requests_left: u8,
+    queries_left: u8,
     changes_left: u8,
     violated: Option<&'static str>,
 }
 
-const NAMES: [&str; 3] = ["view", "post", "extra"];
+/// Names of all classes.
+pub(crate) const NAMES: [&str; 3] = ["view", "post", "extra"];
+/// Number of different settings.
+const SETTINGS: usize = 4;
+/// How long clients wait, and the latency target: longer than any run (microseconds).
+const WAIT: Time = 1_000_000_000;
 
 fn class(name: &str, effect: Effect) -> Class {
     let (name, need) = (name.to_string(), Need::Eventual);
@@ -52,95 +80,143 @@
         need,
         effect,
         attempts: 4,
-        latency_target: 1,
-        deadline: 2,
+        latency_target: WAIT,
+        deadline: WAIT,
         priority_weight: 1.0,
         late_share: 0.0,
     }
 }
 
-/// The settings that may be applied: a class is added, another removed, and effects change.
-fn settings(which: usize) -> Vec<Class> {
+/// The classes of the settings that may be applied: one is added, another removed, and effects change.
+pub(crate) fn classes(which: usize) -> Vec<Class> {
     let keyed = Effect::Keyed { window: 5_000_000, scope: Scope::Group };
     match which {
         0 => vec![class("view", Effect::Safe), class("post", keyed)],
         1 => vec![class("extra", Effect::Unsafe), class("view", keyed), class("post", keyed)],
-        _ => vec![class("extra", Effect::Safe), class("view", Effect::Safe)],
+        2 => vec![class("extra", Effect::Safe), class("view", Effect::Safe)],
+        _ => vec![class("view", Effect::Safe)],
     }
 }
 
 impl Changes {
-    fn used_indices(&self) -> BTreeSet<usize> {
-        self.open.iter().map(|request| request.index).collect()
+    /// Records that a property is violated, unless one is already.
+    fn require(&mut self, holds: bool, property: &'static str) {
+        if !holds {
+            self.violated = self.violated.or(Some(property));
+        }
     }
 
-    fn check(&mut self) {
-        if self.open.iter().any(|request| *self.classes.class(request.index) != request.class) {
-            self.violated = Some(UNCHANGED);
+    /// The forms of a class that a client may know now, newest first.
+    fn known_forms(&self, name: &str) -> Vec<Class> {
+        let known = self.settings.iter().rev().filter(|applied| self.now < applied.replaced_at + OVERLAP);
+        known
+            .filter_map(|applied| classes(applied.which).into_iter().find(|class| class.name == name))
+            .collect()
+    }
+
+    fn find(&self, query: &Query) -> Option<usize> {
+        self.classes.find(query.version, query.received_at, NAMES[query.name], query.key)
+    }
+
+    fn receive(&mut self, name: usize, keyed: bool) {
+        self.queries_left -= 1;
+        let key = if keyed { IdempotencyKey::Present } else { IdempotencyKey::Absent };
+        let version = self.classes.hold();
+        let mut query = Query { name, key, version, received_at: self.now, class: None };
+        query.class = self.find(&query).map(|index| self.classes.class(index).clone());
+        self.check_received(&query);
+        self.queries.push(query);
+    }
+
+    /// Checks the class of a query that has just been received against what its client may know.
+    fn check_received(&mut self, query: &Query) {
+        let known = self.known_forms(NAMES[query.name]);
+        let Some(found) = &query.class else { return };
+        self.require(known.contains(found), CURRENT);
+        if let [newest] = &known[..] {
+            self.require(found == newest, CURRENT);
         }
-        for class in settings(self.in_force) {
-            // The previous class applies only to requests without a key.
-            let found = self.classes.find(self.now, &class.name, IdempotencyKey::Present);
-            if found.is_none_or(|index| *self.classes.class(index) != class) {
-                self.violated = Some(CURRENT);
-            }
+    }
+
+    fn admit(&mut self, index: usize) {
+        let query = self.queries.remove(index);
+        let found = self.find(&query);
+        let class = found.map(|index| self.classes.class(index).clone());
+        // A class that was added while the query waited may be found.
+        self.require(query.class.is_none() || query.class == class, RECEIVED);
+        if let (Some(index), Some(class)) = (found, class) {
+            self.open.push(OpenRequest { index, class });
         }
-        // The classes of two settings, and one class for each open request.
-        if self.classes.table().len() > 2 * NAMES.len() + self.open.len() {
-            self.violated = Some(BOUNDED);
+        self.classes.release(query.version);
+    }
+
+    fn change_settings(&mut self, which: usize) {
+        self.changes_left -= 1;
+        let used: BTreeSet<usize> = self.open.iter().map(|request| request.index).collect();
+        if self.classes.update(self.now, classes(which), &used).is_err() {
+            return;
+        }
+        // Settings whose classes stay as they are replace nothing.
+        if let Some(in_force) = self.settings.last_mut().filter(|applied| applied.which != which) {
+            in_force.replaced_at = self.now;
+            self.settings.push(AppliedSettings { which, replaced_at: Time::MAX - OVERLAP });
         }
     }
+
+    /// The time at which all clients know of the last change.
+    fn known_to_all_at(&self) -> Time {
+        self.settings.iter().rev().nth(1).map_or(0, |before| before.replaced_at + OVERLAP)
+    }
+
+    fn check(&mut self) {
+        let is_unchanged =
+            self.open.iter().all(|request| *self.classes.class(request.index) == request.class);
+        self.require(is_unchanged, UNCHANGED);
+        // The classes of two settings, and one class for each query and open request.
+        let bound = 2 * NAMES.len() + self.queries.len() + self.open.len();
+        self.require(self.classes.table().len() <= bound, BOUNDED);
+    }
 }
 
 impl World for Changes {
     type Step = Step;
 
-    const PROPERTIES: &'static [&'static str] = &[UNCHANGED, CURRENT, BOUNDED];
+    const PROPERTIES: &'static [&'static str] = &[UNCHANGED, RECEIVED, CURRENT, BOUNDED];
 
     fn steps(&self) -> Vec<Step> {
         let mut steps = Vec::new();
-        if self.requests_left > 0 {
-            steps.extend(
-                (0..NAMES.len())
-                    .flat_map(|name| [Step::RequestArrives(name, true), Step::RequestArrives(name, false)]),
-            );
+        if self.queries_left > 0 {
+            let both = |name| [Step::QueryReceived(name, true), Step::QueryReceived(name, false)];
+            steps.extend((0..NAMES.len()).flat_map(both));
         }
+        steps.extend((0..self.queries.len()).map(Step::TurnComes));
         steps.extend((0..self.open.len()).map(Step::RequestEnds));
         if self.changes_left > 0 {
-            steps.extend((0..3).map(Step::SettingsChange));
+            steps.extend((0..SETTINGS).map(Step::SettingsChange));
+        }
+        if self.now < self.known_to_all_at() {
+            steps.push(Step::ClientsCatchUp);
         }
-        steps.push(Step::ClientsCatchUp);
         steps
     }
 
     fn apply(&mut self, step: &Step) {
         match *step {
-            Step::RequestArrives(name, keyed) => {
-                self.requests_left -= 1;
-                let key = if keyed { IdempotencyKey::Present } else { IdempotencyKey::Absent };
-                if let Some(index) = self.classes.find(self.now, NAMES[name], key) {
-                    self.open.push(OpenRequest { index, class: self.classes.class(index).clone() });
-                }
-            }
+            Step::QueryReceived(name, keyed) => self.receive(name, keyed),
+            Step::TurnComes(index) => self.admit(index),
             Step::RequestEnds(index) => drop(self.open.remove(index)),
-            Step::SettingsChange(which) => {
-                self.changes_left -= 1;
-                let used = self.used_indices();
-                if self.classes.update(self.now, settings(which), &used).is_ok() {
-                    self.in_force = which;
-                }
-            }
-            // The time depends only on the last change, so that waiting again reaches no new state.
-            Step::ClientsCatchUp => self.now = OVERLAP * (1 + self.classes.settings_version() as Time),
+            Step::SettingsChange(which) => self.change_settings(which),
+            Step::ClientsCatchUp => self.now = self.known_to_all_at(),
         }
         self.check();
     }
 
     fn describe(&self, step: &Step) -> String {
         match step {
-            Step::RequestArrives(name, keyed) => {
-                format!("a request of class {} arrives, with a key: {keyed}", NAMES[*name])
+            Step::QueryReceived(name, keyed) => {
+                format!("a query of class {} is received, with a key: {keyed}", NAMES[*name])
             }
+            Step::TurnComes(index) => format!("the turn of waiting query {index} comes"),
             Step::RequestEnds(index) => format!("open request {index} ends"),
             Step::SettingsChange(which) => format!("SIGHUP, settings {which}"),
             Step::ClientsCatchUp => "clients know of the last change".into(),
@@ -154,8 +230,16 @@
 
 /// Runs the model.
 pub fn run(size: Size, path: &[String]) -> Report {
-    let (requests_left, changes_left) = if size == Size::Small { (2, 3) } else { (4, 4) };
-    let (classes, open) = (ClassTable::new(settings(0)), Vec::new());
-    let start = Changes { now: 0, classes, in_force: 0, open, requests_left, changes_left, violated: None };
+    let (queries_left, changes_left) = if size == Size::Small { (2, 3) } else { (3, 4) };
+    let start = Changes {
+        now: 0,
+        classes: ClassTable::new(classes(0)),
+        settings: vec![AppliedSettings { which: 0, replaced_at: Time::MAX - OVERLAP }],
+        queries: Vec::new(),
+        open: Vec::new(),
+        queries_left,
+        changes_left,
+        violated: None,
+    };
     check(start, path)
 }
--- a/crates/policy/src/mutant.rs
+++ b/crates/policy/src/mutant.rs
@@ -54,6 +54,10 @@
     StaysDrained,
     /// A class gets the index of a class that an open request still uses.
     ClassIndexReused,
+    /// The class of a query is looked up in the settings of the time when its turn comes.
+    ClassFoundAtTurn,
+    /// A class is forgotten as soon as its last attempt is reported, before the router has stepped.
+    ReportedClassForgotten,
     /// A connection on which rows are still arriving returns to the pool.
     StreamingConnectionPooled,
     /// An acceptor answers immediately after a restart, without observing its silent period.
@@ -102,7 +106,7 @@
 
 impl Mutant {
     /// All mutants.
-    pub const ALL: [Mutant; 47] = [
+    pub const ALL: [Mutant; 49] = [
         Mutant::DrainIgnored,
         Mutant::RetriedAfterKeyWindow,
         Mutant::UnsafeRetried,
@@ -128,6 +132,8 @@
         Mutant::ExitsWithRequestsInFlight,
         Mutant::StaysDrained,
         Mutant::ClassIndexReused,
+        Mutant::ClassFoundAtTurn,
+        Mutant::ReportedClassForgotten,
         Mutant::StreamingConnectionPooled,
         Mutant::SilentPeriodSkipped,
         Mutant::PromiseForgotten,
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -119,8 +119,8 @@
         Ok(router)
     }
 
-    /// Replaces the settings. The [classes in use](Router::classes_in_use) must keep their indexes, and so must
-    /// those in events that have not been passed to [`Router::step`] yet.
+    /// Replaces the settings. The [classes in use](Router::classes_in_use) must keep their indexes, and so
+    /// must those in events that have not been passed to [`Router::step`] yet.
     ///
     /// # Errors
     ///
--- a/src/client/client_event.rs
+++ b/src/client/client_event.rs
@@ -1,5 +1,6 @@
 //! Events on a client's connection for its state machine, with the data that belongs to them.
 
+use crate::facade::SettingsHold;
 use crate::postgres::cancel::CancelKey;
 use crate::postgres::Malformed;
 use crate::Time;
@@ -29,6 +30,8 @@
 pub(super) struct Query {
     pub(super) text: Bytes,
     pub(super) arrived_at: Time,
+    /// The settings under which it was received.
+    pub(super) settings: SettingsHold,
 }
 
 /// A protocol violation, for which the client is disconnected with an error.
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -7,6 +7,8 @@
 //! | `acceptor` | a session for each accepted client |
 //! | `session` | one client's connection: drives its state machine from input, timers and gateway state |
 //! | `reader` | the messages of one client, with bounded read-ahead |
+//! | `settings_tracker` | under which settings each message of one client was received |
+//! | `disconnect` | whether a client has closed its connection |
 //! | `client_event` | events on a client's connection |
 //! | `query` | a query: a request, or a statement that the gateway answers itself |
 //! | `request_parser` | parsing and validation of a request before its admission |
@@ -31,8 +33,10 @@
 pub mod cancel_registry;
 mod client_event;
 pub mod context;
+mod disconnect;
 mod query;
 mod reader;
 mod request;
 mod request_parser;
 mod session;
+mod settings_tracker;
--- a/src/client/reader.rs
+++ b/src/client/reader.rs
@@ -2,6 +2,9 @@
 
 use crate::client::client_event::{ClientEvent, Payload, ProtocolError, Query, ReadError};
 use crate::client::context::ClientContext;
+use crate::client::disconnect::{closed_by_client, is_closed_by_client};
+use crate::client::settings_tracker::SettingsTracker;
+use crate::facade::SettingsHold;
 use crate::os::clock::Clock;
 use crate::os::socket::{self, SocketError};
 use crate::postgres::read_buffer::{self, ReadBuffer};
@@ -14,7 +17,6 @@
 use petrelgauge_lifecycle::read_ahead::ReadAhead;
 use std::collections::VecDeque;
 use std::rc::Rc;
-use tokio::io::Interest;
 use tokio::net::tcp::ReadHalf;
 
 /// Time within which an open query may still be answered after a protocol error that followed it
@@ -24,7 +26,8 @@
 /// Reads from one client.
 ///
 /// Each message keeps its arrival time, since a client measures its wait from when it sent a query, even
-/// while its earlier queries are being answered. Buffered data is bounded by [`ReadAhead`] and by the memory
+/// while its earlier queries are being answered, and the settings under which it was received, since these
+/// apply to it whenever its turn comes. Buffered data is bounded by [`ReadAhead`] and by the memory
 /// of all connections. At either bound reading pauses, and only the client's disconnect is still detected.
 ///
 /// All methods that wait are cancel safe: what was read stays in the reader.
@@ -38,6 +41,7 @@
     /// Bounded by [`petrelgauge_lifecycle::read_ahead::MAX_QUEUED`].
     queue: VecDeque<QueuedMessage>,
     read_ahead: ReadAhead,
+    settings: SettingsTracker,
     /// Whether the startup message was received.
     has_started: bool,
     failure: Option<Failure>,
@@ -47,6 +51,7 @@
 struct QueuedMessage {
     message: Message,
     arrived_at: Time,
+    settings: SettingsHold,
 }
 
 /// A protocol error, and the time until which queries received before it may still be answered.
@@ -67,6 +72,7 @@
             framer: Framer::default(),
             queue: VecDeque::new(),
             read_ahead: ReadAhead::new(),
+            settings: SettingsTracker::new(&context.facade),
             has_started: false,
             failure: None,
         }
@@ -212,10 +218,10 @@
     }
 
     async fn next_message(&mut self) -> Result<ClientEvent, ReadError> {
-        let QueuedMessage { message, arrived_at } = self.read_message().await?;
+        let QueuedMessage { message, arrived_at, settings } = self.read_message().await?;
         let kind = MessageKind::of(message.kind());
         let payload = match kind {
-            MessageKind::Query => Payload::Query(Query { text: message.text()?, arrived_at }),
+            MessageKind::Query => Payload::Query(Query { text: message.text()?, arrived_at, settings }),
             _ => Payload::None,
         };
         Ok(ClientEvent::new(Event::Message(kind), payload))
@@ -242,10 +248,7 @@
     fn parse_messages(&mut self) {
         while self.failure.is_none() && self.read_ahead.may_queue() {
             match self.framer.message() {
-                Ok(Some(message)) => {
-                    self.read_ahead.on_queued(accounted_bytes(&message), self.framer.len());
-                    self.queue.push_back(QueuedMessage { message, arrived_at: self.read_ahead.arrived_at() });
-                }
+                Ok(Some(message)) => self.queue_message(message),
                 Ok(None) => break,
                 Err(malformed) => self.fail(malformed.into()),
             }
@@ -253,6 +256,13 @@
         self.memory.resize(self.read_ahead.buffered_bytes());
     }
 
+    fn queue_message(&mut self, message: Message) {
+        let unparsed = self.framer.len();
+        self.read_ahead.on_queued(accounted_bytes(&message), unparsed);
+        let settings = self.settings.of_message(unparsed);
+        self.queue.push_back(QueuedMessage { message, arrived_at: self.read_ahead.arrived_at(), settings });
+    }
+
     fn has_queued_terminate(&self) -> bool {
         let mut kinds = self.queue.iter().map(|queued| MessageKind::of(queued.message.kind()));
         kinds.any(|kind| kind == MessageKind::Terminate)
@@ -290,6 +300,7 @@
             tokio::select! {
                 biased;
                 () = closed_by_client(&self.stream) => return Err(End::ClientLeft),
+                () = self.settings.changed() => self.on_settings_changed(),
                 () = released, if waits_for_memory => {}
             }
         }
@@ -299,10 +310,28 @@
     /// many bytes may be read.
     async fn wait_readable(&mut self) -> Result<usize, End> {
         let allowance = self.wait_for_allowance().await?;
-        self.stream.readable().await.map_err(|_| End::ClientLeft)?;
+        self.readable().await?;
         Ok(allowance)
     }
 
+    /// Waits until the socket is readable. When it returns, every change of the settings that came before the
+    /// unread bytes is recorded, provided that they are read without waiting.
+    async fn readable(&mut self) -> Result<(), End> {
+        loop {
+            tokio::select! {
+                biased;
+                () = self.settings.changed() => self.on_settings_changed(),
+                readable = self.stream.readable() => return readable.map_err(|_| End::ClientLeft),
+            }
+        }
+    }
+
+    /// Records that what the client has sent so far was received under the settings before a change.
+    fn on_settings_changed(&mut self) {
+        let unread = socket::unread_count(self.stream.as_ref());
+        self.settings.on_changed(self.framer.len(), unread);
+    }
+
     /// Reads once, as soon as it is allowed.
     async fn read(&mut self) -> Result<(), End> {
         let allowance = self.wait_for_allowance().await?;
@@ -311,30 +340,37 @@
 
     /// Reads once, at most `allowance` bytes.
     async fn read_up_to(&mut self, allowance: usize) -> Result<(), End> {
-        let mut framer = self.failure.is_none().then_some(&mut self.framer);
-        let stream = &self.stream;
-        let (read_bytes, capacity) = loop {
-            stream.readable().await.map_err(|_| End::ClientLeft)?;
-            let mut capacity = 0;
-            let read_once = |bytes: &mut [u8]| {
-                capacity = allowance.min(bytes.len());
-                stream.try_read(&mut bytes[..capacity])
-            };
-            match self.read_buffer.read(read_once, framer.as_deref_mut()) {
-                Ok(Some(read_bytes @ 1..)) => break (read_bytes, capacity),
+        loop {
+            self.readable().await?;
+            match self.try_read(allowance) {
+                Ok(Some(1..)) => break,
                 Ok(None) => {}
                 Err(SocketError::ResourceShortage(_)) => socket::pause_after_shortage().await,
                 Ok(Some(0)) | Err(_) => return Err(End::ClientLeft),
             }
-        };
-        if self.failure.is_none() {
-            self.read_ahead.on_read(self.clock.now(), read_bytes, capacity);
-            self.memory.resize(self.read_ahead.buffered_bytes());
         }
         // Yields so that a client that sends continuously does not starve the others.
         tokio::task::yield_now().await;
         Ok(())
     }
+
+    /// Reads what is available, at most `allowance` bytes. Returns how many bytes were read: 0 at the end of
+    /// the stream, none if nothing is available.
+    fn try_read(&mut self, allowance: usize) -> Result<Option<usize>, SocketError> {
+        let framer = self.failure.is_none().then_some(&mut self.framer);
+        let mut capacity = 0;
+        let read_once = |bytes: &mut [u8]| {
+            capacity = allowance.min(bytes.len());
+            self.stream.try_read(&mut bytes[..capacity])
+        };
+        let read = self.read_buffer.read(read_once, framer)?;
+        if let (Some(count @ 1..), None) = (read, self.failure) {
+            self.read_ahead.on_read(self.clock.now(), count, capacity);
+            self.settings.on_read(count);
+            self.memory.resize(self.read_ahead.buffered_bytes());
+        }
+        Ok(read)
+    }
 }
 
 /// Waits until the time to answer the queries before a protocol error is over; forever without an error.
@@ -345,28 +381,6 @@
     }
 }
 
-/// Waits until the client has closed its side or the connection broke, without reading.
-///
-/// Waits for priority data, for which the socket is not registered, so that only the end of the connection is
-/// reported and not readable bytes.
-async fn closed_by_client(stream: &ReadHalf<'_>) {
-    loop {
-        match stream.ready(Interest::PRIORITY).await {
-            Ok(ready) if !ready.is_read_closed() => tokio::task::yield_now().await,
-            _ => return,
-        }
-    }
-}
-
-/// Whether the client has closed its side or the connection broke, as far as the reactor knows.
-async fn is_closed_by_client(stream: &ReadHalf<'_>) -> bool {
-    tokio::select! {
-        biased;
-        () = closed_by_client(stream) => true,
-        () = std::future::ready(()) => false,
-    }
-}
-
 /// Bytes accounted for a queued message. Includes the queue entry, since many small messages use more memory
 /// than their bytes.
 fn accounted_bytes(message: &Message) -> usize {
--- a/src/client/request.rs
+++ b/src/client/request.rs
@@ -48,13 +48,14 @@
         let end = self.run_request(&request).await?;
         let now = self.context.clock.now();
         log::debug!(
-            "request ended request={} class={} group={} end={} took_us={} left_us={}",
+            "request ended request={} class={} group={} end={} took_us={} left_us={} settings_version={}",
             request.statement.id,
             request.statement.class,
             request.statement.group,
             end.as_str(),
             now - request.request.arrived_at,
             request.request.deadline - now,
+            request.received_under,
         );
         self.write_final_answer(end, &request).await
     }
--- a/src/client/request_parser.rs
+++ b/src/client/request_parser.rs
@@ -7,7 +7,7 @@
 use crate::postgres::sqlstate;
 use crate::sql::statement::{Statement, StatementError};
 use crate::{Class, Effect, Need, Time};
-use petrelgauge_lifecycle::class_table::IdempotencyKey;
+use petrelgauge_lifecycle::class_table::{ClassSetVersion, IdempotencyKey};
 use petrelgauge_lifecycle::request_table::ClassLookup;
 use petrelgauge_sessions::{SessionKey, SessionTokens, TokenError};
 use std::rc::Rc;
@@ -59,6 +59,8 @@
 pub(super) struct ClientRequest {
     pub(super) request: Request,
     pub(super) statement: Rc<Statement>,
+    /// The settings under which it was received.
+    pub(super) received_under: ClassSetVersion,
     _id: ReservedRequestId,
 }
 
@@ -80,14 +82,16 @@
         query: &Query,
         connection_tokens: &SessionTokens,
     ) -> Result<ClientRequest, UnusableStatement> {
-        let arrived_at = query.arrived_at;
+        let (arrived_at, received_under) = (query.arrived_at, query.settings.version());
         let statement = Statement::parse(&query.text)?;
         let ClassLookup { index: class_index, class } = self
             .facade
-            .read(|table| table.find_class(arrived_at, &statement.class, statement.idempotency_key))
+            .read(|table| {
+                table.find_class(received_under, arrived_at, &statement.class, statement.idempotency_key)
+            })
             .ok_or(UnusableStatement::UnknownClass)?;
         let wait = microseconds(statement.wait_ms);
-        self.check(&statement, &class, wait, arrived_at)?;
+        self.check(&statement, &class, wait, query)?;
         let session = self.session_ref(class_index, &statement, arrived_at, connection_tokens)?;
         let id = self.reserve_request_id(&statement.id).ok_or(UnusableStatement::DuplicateId)?;
         let reads_session = class.need == Need::Session;
@@ -100,7 +104,7 @@
             required_position: statement.after_ms.filter(|_| reads_session).map(microseconds),
             session,
         };
-        Ok(ClientRequest { request, statement: Rc::new(statement), _id: id })
+        Ok(ClientRequest { request, statement: Rc::new(statement), received_under, _id: id })
     }
 
     /// Validates a statement against its class and the groups that are served.
@@ -109,7 +113,7 @@
         statement: &Statement,
         class: &Class,
         wait: Time,
-        arrived_at: Time,
+        query: &Query,
     ) -> Result<(), UnusableStatement> {
         if statement.is_write != (class.need == Need::Write) {
             return Err(UnusableStatement::ClassMismatch);
@@ -118,12 +122,10 @@
         {
             return Err(UnusableStatement::MissingIdempotencyKey);
         }
-        if wait
-            > self
-                .facade
-                .read(|table| table.longest_class_deadline(arrived_at, &class.name))
-                .saturating_mul(MAX_WAIT_FACTOR)
-        {
+        let longest_deadline = self.facade.read(|table| {
+            table.longest_class_deadline(query.settings.version(), query.arrived_at, &class.name)
+        });
+        if wait > longest_deadline.saturating_mul(MAX_WAIT_FACTOR) {
             return Err(UnusableStatement::WaitTooLong);
         }
         if !self.facade.read(|table| table.may_serve_group(statement.group)) {
--- a/src/control/reload.rs
+++ b/src/control/reload.rs
@@ -16,8 +16,8 @@
 }
 
 impl<S> ControlPlane<S> {
-    /// Replaces the `current` configuration by `new`. Open requests keep the classes that they were admitted
-    /// with. Keys that require a restart keep their old value and are logged.
+    /// Replaces the `current` configuration by `new`. Requests that were received
+    /// before keep their classes. Keys that require a restart keep their old value and are logged.
     ///
     /// # Errors
     ///
@@ -32,7 +32,7 @@
         let (connect_timeout, idle_timeout) =
             (new.deployment.connect_timeout(), new.deployment.host_idle_timeout());
         self.facade
-            .update(|table| table.apply_settings(now, settings, &session_classes))
+            .apply_settings(now, settings, &session_classes)
             .map_err(ControlError::SettingsRejected)?;
         self.host_pool.reconfigure(connect_timeout, idle_timeout);
         let ignored_keys = current.keys_needing_restart(&new);
--- a/src/facade/mod.rs
+++ b/src/facade/mod.rs
@@ -8,11 +8,14 @@
 //!
 //! One task drives the facade: it calls [`Facade::tick`] at the time that the last call returned, or earlier
 //! when [`Facade::changed`] returns. State other than requests and attempts is read with [`Facade::read`] and
-//! changed with [`Facade::update`], which wakes that task.
+//! changed with [`Facade::update`], which wakes that task. Whoever reads queries of clients follows changes of
+//! the settings with [`Facade::watch_settings`], and keeps a [`SettingsHold`] of the settings under which it
+//! received a query until the query is admitted.
 //!
 //! The facade makes no decisions itself and handles neither protocols nor sockets. It may import no other
 //! folder of the gateway.
 
+use petrelgauge_lifecycle::class_table::ClassSetVersion;
 use petrelgauge_lifecycle::request_table::{AttemptId, AttemptSpec, RequestTable, TableCommand, Tick};
 pub use petrelgauge_lifecycle::request_table::{
     Outcome, Request, SessionRef, SessionTracking, SettingsRejected,
@@ -23,7 +26,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
 
 /// A decision on a request.
 #[derive(Debug)]
@@ -53,6 +56,8 @@
     cancel_senders: RefCell<BTreeMap<AttemptId, oneshot::Sender<()>>>,
     /// Notified when the table changes.
     table_changed: Notify,
+    /// The version of the classes in force.
+    class_version: watch::Sender<ClassSetVersion>,
 }
 
 type DecisionSender = mpsc::UnboundedSender<Decision>;
@@ -77,8 +82,10 @@
         seed: u64,
         sessions: Option<SessionTracking>,
     ) -> Result<Facade, SettingsError> {
+        let table = RequestTable::new(settings, seed, sessions)?;
         let inner = Inner {
-            table: RefCell::new(RequestTable::new(settings, seed, sessions)?),
+            class_version: watch::Sender::new(table.class_version()),
+            table: RefCell::new(table),
             decision_senders: RefCell::default(),
             cancel_senders: RefCell::default(),
             table_changed: Notify::new(),
@@ -109,6 +116,34 @@
         result
     }
 
+    /// Applies new settings; see [`RequestTable::apply_settings`].
+    ///
+    /// # Errors
+    ///
+    /// Returns why the settings were rejected; nothing has changed then.
+    pub fn apply_settings(
+        &self,
+        now: Time,
+        settings: Settings,
+        session_classes: &[usize],
+    ) -> Result<(), SettingsRejected> {
+        self.update(|table| table.apply_settings(now, settings, session_classes))?;
+        let new = self.read(RequestTable::class_version);
+        self.inner.class_version.send_if_modified(|version| std::mem::replace(version, new) != new);
+        Ok(())
+    }
+
+    /// Notifies of each change of the classes in force.
+    pub fn watch_settings(&self) -> watch::Receiver<ClassSetVersion> {
+        self.inner.class_version.subscribe()
+    }
+
+    /// Holds the settings in force for queries that are received under them.
+    pub fn hold_settings(&self) -> SettingsHold {
+        let version = self.inner.table.borrow_mut().hold_classes();
+        SettingsHold { held: Rc::new(HeldSettings { facade: self.clone(), version }) }
+    }
+
     /// Admits a request. Decisions on it are delivered through the returned [`RequestHandle`].
     pub fn admit(&self, request: Request) -> RequestHandle {
         let (sender, decisions) = mpsc::unbounded_channel();
@@ -180,6 +215,30 @@
     }
 }
 
+/// The settings under which a query was received. Their classes are kept until the last clone is dropped.
+#[derive(Clone)]
+pub struct SettingsHold {
+    held: Rc<HeldSettings>,
+}
+
+struct HeldSettings {
+    facade: Facade,
+    version: ClassSetVersion,
+}
+
+impl SettingsHold {
+    /// The version of their classes.
+    pub fn version(&self) -> ClassSetVersion {
+        self.held.version
+    }
+}
+
+impl Drop for HeldSettings {
+    fn drop(&mut self) {
+        self.facade.inner.table.borrow_mut().release_classes(self.version);
+    }
+}
+
 /// An admitted request. Dropping it before its final decision abandons the request.
 pub struct RequestHandle {
     facade: Facade,
--- a/src/os/socket.rs
+++ b/src/os/socket.rs
@@ -299,6 +299,11 @@
     }
 }
 
+/// Number of bytes that can be read from a connection without waiting. 0 if the connection has ended.
+pub fn unread_count(stream: &TcpStream) -> usize {
+    rustix::io::ioctl_fionread(stream).map_or(0, |count| usize::try_from(count).unwrap_or(usize::MAX))
+}
+
 /// Peeks at a connection. Asks the kernel, since the reactor may not yet know of bytes that have just
 /// arrived.
 pub fn unread_on(stream: &TcpStream) -> Unread {
