A removed class is served for its whole overlap though another reload follows

What callers saw: clients that named a class which a reload had removed got 22023 within the 1.2 s for which they may go on to use it, if a second SIGHUP came in that time, even with an unchanged file.

Cause: the class table kept the classes before the last change only. Each change, also one that changed nothing, replaced them and began the time anew.

Change: each set of classes lists the earlier ones that clients may still use, each with its own end.

--- a/crates/lifecycle/src/class_table.rs
+++ b/crates/lifecycle/src/class_table.rs
@@ -9,7 +9,7 @@
 //! under which the gateway received it, so whoever reads queries [holds](ClassTable::hold) these settings and
 //! names them to [`ClassTable::find`]. What is held stays in the table.
 //!
-//! Clients learn of a change later than the gateway. For [`OVERLAP`] after a change,
+//! Clients learn of a change later than the gateway. For [`OVERLAP`] after a change, whatever settings follow,
 //! a removed class is still found, and a request without an idempotency key finds an earlier form of a class
 //! that now requires one.
 //!
@@ -271,11 +271,13 @@
 
     /// Puts classes with these indexes in force.
     fn replace_set_in_force(&mut self, now: Time, classes: Vec<usize>) {
+        let is_usable = |earlier: &EarlierClasses| now < earlier.until && !mutant(Mutant::OverlapCutShort);
         let replaced = EarlierClasses { classes: self.in_force.classes.clone(), until: now + OVERLAP };
+        let still_usable = self.in_force.earlier.iter().filter(|earlier| is_usable(earlier)).cloned();
         let in_force = ClassSet {
             version: ClassSetVersion(self.settings_version),
             classes,
-            earlier: vec![replaced],
+            earlier: std::iter::once(replaced).chain(still_usable).collect(),
             holds: 0,
         };
         let replaced = std::mem::replace(&mut self.in_force, in_force);
--- a/crates/lifecycle/tests/class_table.rs
+++ b/crates/lifecycle/tests/class_table.rs
@@ -175,6 +175,20 @@
     assert_eq!(found(OVERLAP), None);
 }
 
+// Regression: a second change within the overlap ended it, and clients of a removed class were turned away.
+#[test]
+fn each_removed_class_has_its_whole_overlap_though_changes_follow() {
+    let mut classes = two_classes();
+    let changes = [vec![class("b", KEYED)], vec![class("c", Effect::Safe)], vec![class("c", Effect::Safe)]];
+    for (now, changed) in changes.into_iter().enumerate() {
+        classes.update(now as Time, changed, &BTreeSet::new()).expect("a free index");
+    }
+    let found = |now, name| find(&classes, now, name, IdempotencyKey::Present).is_some();
+    assert!(found(OVERLAP - 1, "a") && !found(OVERLAP, "a"));
+    assert!(found(OVERLAP, "b") && !found(OVERLAP + 1, "b"));
+    assert_eq!(classes.settings_version(), 4);
+}
+
 #[test]
 fn a_class_that_is_added_while_a_query_waits_is_found() {
     let mut classes = two_classes();
--- a/crates/models/src/lib.rs
+++ b/crates/models/src/lib.rs
@@ -117,7 +117,7 @@
         // Three changes of settings while two queries wait, are admitted, stay open and end.
         name: "rules",
         run: rules::run,
-        detects: &[Mutant::ClassIndexReused, Mutant::ClassFoundAtTurn],
+        detects: &[Mutant::ClassIndexReused, Mutant::ClassFoundAtTurn, Mutant::OverlapCutShort],
     },
     ModelEntry {
         // Three changes of settings while a query waits, its request is in flight, and its end is stepped.
--- a/crates/models/src/rules.rs
+++ b/crates/models/src/rules.rs
@@ -9,6 +9,7 @@
 
 const UNCHANGED: &str = "an open request keeps the class that it was admitted with";
 const RECEIVED: &str = "a query has the class under which it was received, whenever its turn comes";
+const FOUND: &str = "a name that a client may know is found";
 const CURRENT: &str = "a name is found with its newest rules once all clients know them";
 const BOUNDED: &str = "the table holds no more than what is in force, was, waits, and is open";
 
@@ -131,6 +132,7 @@
     /// Checks the class of a query that has just been received against what its client may know.
     fn check_received(&mut self, query: &Query) {
         let known = self.known_forms(NAMES[query.name]);
+        self.require(query.class.is_some() || known.is_empty(), FOUND);
         let Some(found) = &query.class else { return };
         self.require(known.contains(found), CURRENT);
         if let [newest] = &known[..] {
@@ -181,7 +183,7 @@
 impl World for Changes {
     type Step = Step;
 
-    const PROPERTIES: &'static [&'static str] = &[UNCHANGED, RECEIVED, CURRENT, BOUNDED];
+    const PROPERTIES: &'static [&'static str] = &[UNCHANGED, RECEIVED, FOUND, CURRENT, BOUNDED];
 
     fn steps(&self) -> Vec<Step> {
         let mut steps = Vec::new();
--- a/crates/policy/src/mutant.rs
+++ b/crates/policy/src/mutant.rs
@@ -58,6 +58,8 @@
     ClassFoundAtTurn,
     /// A class is forgotten as soon as its last attempt is reported, before the router has stepped.
     ReportedClassForgotten,
+    /// A change of the settings ends the time for which clients may use the classes before the last one.
+    OverlapCutShort,
     /// A connection on which rows are still arriving returns to the pool.
     StreamingConnectionPooled,
     /// An acceptor answers immediately after a restart, without observing its silent period.
@@ -106,7 +108,7 @@
 
 impl Mutant {
     /// All mutants.
-    pub const ALL: [Mutant; 49] = [
+    pub const ALL: [Mutant; 50] = [
         Mutant::DrainIgnored,
         Mutant::RetriedAfterKeyWindow,
         Mutant::UnsafeRetried,
@@ -134,6 +136,7 @@
         Mutant::ClassIndexReused,
         Mutant::ClassFoundAtTurn,
         Mutant::ReportedClassForgotten,
+        Mutant::OverlapCutShort,
         Mutant::StreamingConnectionPooled,
         Mutant::SilentPeriodSkipped,
         Mutant::PromiseForgotten,
--- a/tests/class_changes.rs
+++ b/tests/class_changes.rs
@@ -170,6 +170,21 @@
     }
 }
 
+// Regression: a second reload within the time for which clients may use a removed class ended that time.
+#[test]
+fn a_removed_class_is_served_for_its_time_though_another_reload_follows() {
+    let (host, gateway, config) = start(vec![Reply::Row(b"v"), Reply::Row(b"v")], str::to_string);
+    let without_view = replace_parts(&config, &[("\"name\":\"view\"", "\"name\":\"view-2\"")]);
+    let mut client = gateway.client();
+    reload(&gateway, &without_view);
+    reload(&gateway, &replace_parts(&without_view, &[("\"attempts_cap\":8", "\"attempts_cap\":7")]));
+    reload(&gateway, &replace_parts(&without_view, &[("\"attempts_cap\":8", "\"attempts_cap\":7")]));
+    assert_eq!(kinds(&client.query(&read("a1"))), "TDCZ");
+    std::thread::sleep(OVERLAP);
+    assert_eq!(kinds(&client.query(&read("a2"))), "EZ");
+    assert_eq!(host.query_count(), 1);
+}
+
 // A class that is dropped while a query waits, and whose time is over when its turn comes, is served.
 #[test]
 fn a_query_whose_class_is_dropped_while_it_waits_is_served() {
