A class is repeated more freely only once clients know of its new rules

What callers saw: a write that came up to 1.2 s behind a reload from unsafe to safe ran twice.

Change: of the forms of a class that the client may know, the one that allows fewer repeats is found: unsafe before keyed before safe, a shorter window or a narrower scope of a key, fewer attempts. This also covers queries in connections that the process has not accepted when the settings change.

--- a/crates/lifecycle/src/class_table.rs
+++ b/crates/lifecycle/src/class_table.rs
@@ -10,8 +10,8 @@
 //! names them to [`ClassTable::find`]. What is held stays in the table.
 //!
 //! Clients learn of a change later than the gateway. For [`OVERLAP`] after a change, whatever settings follow,
-//! a removed class is still found, and a request without an idempotency key finds an earlier form of a class
-//! that now requires one.
+//! a removed class is still found, a request without an idempotency key finds an earlier form of a class that
+//! now requires one, and a class that may now be repeated more freely is found in its earlier form.
 //!
 //! **Bounds.** The table holds the classes in force, those of the changes within [`OVERLAP`], those that are
 //! held, and those in use: at most [`MAX_CLASSES`]. A change that needs more is rejected. There is at most one
@@ -40,7 +40,7 @@
 //! assert_eq!((classes.class(old).effect, classes.class(new).effect), (Effect::Unsafe, Effect::Safe));
 //! ```
 
-use petrelgauge_policy::{mutant, Class, Effect, Mutant, Time};
+use petrelgauge_policy::{mutant, Class, Effect, Mutant, Need, Scope, Time};
 use std::collections::BTreeSet;
 use std::fmt;
 
@@ -190,7 +190,8 @@
     /// The index of the class that a query names which was received under settings of this version at this
     /// time, by whether it carries an idempotency key. `version` must be held or in force.
     ///
-    /// Of the forms of the class that the client may know, it is the newest that accepts the query.
+    /// Of the forms of the class that the client may know and that accept the query, it is the newest, or an
+    /// earlier one that allows fewer repeats: the rules of new settings bind only when clients know them.
     pub fn find(
         &self,
         version: ClassSetVersion,
@@ -199,8 +200,16 @@
         key: IdempotencyKey,
     ) -> Option<usize> {
         let accepts = |index: &usize| key == IdempotencyKey::Present || !requires_key(self.class(*index));
+        let strictest = |newer: usize, earlier: usize| {
+            let is_stricter = allows_fewer_repeats(self.class(earlier), self.class(newer));
+            if is_stricter && !mutant(Mutant::RepeatsAllowedEarly) {
+                earlier
+            } else {
+                newer
+            }
+        };
         let named = || self.named(version, received_at, name);
-        named().find(accepts).or_else(|| named().next())
+        named().filter(accepts).reduce(strictest).or_else(|| named().next())
     }
 
     /// Indexes of the classes with this name that a client may have used, newest first. A class that did not
@@ -328,3 +337,31 @@
 fn requires_key(class: &Class) -> bool {
     matches!(class.effect, Effect::Keyed { .. })
 }
+
+/// Whether a form of a class allows fewer repeats of a request than another form. Reads and writes have no
+/// form in common.
+fn allows_fewer_repeats(class: &Class, other: &Class) -> bool {
+    let is_same_kind = (class.need == Need::Write) == (other.need == Need::Write);
+    let has_fewer_attempts = class.effect == other.effect && class.attempts < other.attempts;
+    is_same_kind && (is_stricter(class.effect, other.effect) || has_fewer_attempts)
+}
+
+fn is_stricter(effect: Effect, other: Effect) -> bool {
+    match (effect, other) {
+        (Effect::Safe, _) | (Effect::Unsafe, Effect::Unsafe) => false,
+        (Effect::Unsafe, _) | (Effect::Keyed { .. }, Effect::Safe) => true,
+        (Effect::Keyed { .. }, Effect::Unsafe) => false,
+        (Effect::Keyed { window, scope }, Effect::Keyed { window: other_window, scope: other_scope }) => {
+            window < other_window || strictness(scope) > strictness(other_scope)
+        }
+    }
+}
+
+/// Rank of a scope: the higher, the fewer members recognize the key of a request to one group.
+fn strictness(scope: Scope) -> u8 {
+    match scope {
+        Scope::All => 0,
+        Scope::Group => 1,
+        Scope::Zone => 2,
+    }
+}
--- a/crates/lifecycle/tests/class_table.rs
+++ b/crates/lifecycle/tests/class_table.rs
@@ -189,6 +189,49 @@
     assert_eq!(classes.settings_version(), 4);
 }
 
+// Regression: a class that may be repeated more freely was so before clients knew of it.
+#[test]
+fn of_two_forms_that_clients_may_know_the_one_with_fewer_repeats_is_found() {
+    let shorter = Effect::Keyed { window: 1_000_000, scope: Scope::Group };
+    let wider = Effect::Keyed { window: 5_000_000, scope: Scope::All };
+    let narrower = Effect::Keyed { window: 5_000_000, scope: Scope::Zone };
+    let cases = [
+        (Effect::Unsafe, Effect::Safe),
+        (Effect::Unsafe, KEYED),
+        (KEYED, Effect::Safe),
+        (shorter, KEYED),
+        (KEYED, wider),
+        (narrower, KEYED),
+    ];
+    for (strict, free) in cases {
+        for (before, after) in [(strict, free), (free, strict)] {
+            let mut classes = ClassTable::new(vec![class("a", before)]);
+            classes.update(0, vec![class("a", after)], &BTreeSet::new()).expect("a free index");
+            let effect = |now| {
+                let index = find(&classes, now, "a", IdempotencyKey::Present).expect("it is in force");
+                classes.class(index).effect
+            };
+            assert_eq!(effect(OVERLAP - 1), strict, "{before:?} to {after:?}");
+            assert_eq!(effect(OVERLAP), after, "{before:?} to {after:?}");
+        }
+    }
+    let attempts = |count| Class { attempts: count, ..class("a", KEYED) };
+    let mut classes = ClassTable::new(vec![attempts(3)]);
+    classes.update(0, vec![attempts(4)], &BTreeSet::new()).expect("a free index");
+    let found = |now| find(&classes, now, "a", IdempotencyKey::Present).expect("it is in force");
+    assert_eq!([OVERLAP - 1, OVERLAP].map(|now| classes.class(found(now)).attempts), [3, 4]);
+}
+
+// A class of reads that becomes one of writes is another class: no earlier form fits the new statements.
+#[test]
+fn a_form_of_the_other_kind_is_not_found_in_place_of_the_one_in_force() {
+    let write = |effect| Class { need: Need::Write, ..class("a", effect) };
+    let mut classes = ClassTable::new(vec![write(Effect::Unsafe)]);
+    classes.update(0, vec![class("a", Effect::Safe)], &BTreeSet::new()).expect("a free index");
+    let found = find(&classes, 0, "a", IdempotencyKey::Absent).expect("it is in force");
+    assert_eq!(classes.class(found), &class("a", Effect::Safe));
+}
+
 #[test]
 fn a_class_that_is_added_while_a_query_waits_is_found() {
     let mut classes = two_classes();
--- a/crates/models/src/lib.rs
+++ b/crates/models/src/lib.rs
@@ -117,7 +117,12 @@
         // Three changes of settings while two queries wait, are admitted, stay open and end.
         name: "rules",
         run: rules::run,
-        detects: &[Mutant::ClassIndexReused, Mutant::ClassFoundAtTurn, Mutant::OverlapCutShort],
+        detects: &[
+            Mutant::ClassIndexReused,
+            Mutant::ClassFoundAtTurn,
+            Mutant::OverlapCutShort,
+            Mutant::RepeatsAllowedEarly,
+        ],
     },
     ModelEntry {
         // Three changes of settings while a query waits, its request is in flight, and its end is stepped.
--- a/crates/models/src/rules.rs
+++ b/crates/models/src/rules.rs
@@ -11,6 +11,7 @@
 const RECEIVED: &str = "a query has the class under which it was received, whenever its turn comes";
 const FOUND: &str = "a name that a client may know is found";
 const CURRENT: &str = "a name is found with its newest rules once all clients know them";
+const STRICT: &str = "no rule allows more repeats before all clients know it";
 const BOUNDED: &str = "the table holds no more than what is in force, was, waits, and is open";
 
 /// A step of the model.
@@ -99,6 +100,19 @@
     }
 }
 
+/// How many repeats an effect allows, as a rank.
+fn freedom(effect: Effect) -> u8 {
+    match effect {
+        Effect::Unsafe => 0,
+        Effect::Keyed { .. } => 1,
+        Effect::Safe => 2,
+    }
+}
+
+fn is_keyed(class: &Class) -> bool {
+    matches!(class.effect, Effect::Keyed { .. })
+}
+
 impl Changes {
     /// Records that a property is violated, unless one is already.
     fn require(&mut self, holds: bool, property: &'static str) {
@@ -138,6 +152,10 @@
         if let [newest] = &known[..] {
             self.require(found == newest, CURRENT);
         }
+        let has_key = query.key == IdempotencyKey::Present;
+        let accepted = known.iter().filter(|form| has_key || !is_keyed(form));
+        let strictest = accepted.map(|form| freedom(form.effect)).min();
+        self.require(strictest.is_none_or(|strictest| freedom(found.effect) <= strictest), STRICT);
     }
 
     fn admit(&mut self, index: usize) {
@@ -183,7 +201,7 @@
 impl World for Changes {
     type Step = Step;
 
-    const PROPERTIES: &'static [&'static str] = &[UNCHANGED, RECEIVED, FOUND, CURRENT, BOUNDED];
+    const PROPERTIES: &'static [&'static str] = &[UNCHANGED, RECEIVED, FOUND, CURRENT, STRICT, BOUNDED];
 
     fn steps(&self) -> Vec<Step> {
         let mut steps = Vec::new();
--- a/crates/policy/src/mutant.rs
+++ b/crates/policy/src/mutant.rs
@@ -60,6 +60,8 @@
     ReportedClassForgotten,
     /// A change of the settings ends the time for which clients may use the classes before the last one.
     OverlapCutShort,
+    /// A class that may be repeated more freely is used before clients know of it.
+    RepeatsAllowedEarly,
     /// A connection on which rows are still arriving returns to the pool.
     StreamingConnectionPooled,
     /// An acceptor answers immediately after a restart, without observing its silent period.
@@ -108,7 +110,7 @@
 
 impl Mutant {
     /// All mutants.
-    pub const ALL: [Mutant; 50] = [
+    pub const ALL: [Mutant; 51] = [
         Mutant::DrainIgnored,
         Mutant::RetriedAfterKeyWindow,
         Mutant::UnsafeRetried,
@@ -137,6 +139,7 @@
         Mutant::ClassFoundAtTurn,
         Mutant::ReportedClassForgotten,
         Mutant::OverlapCutShort,
+        Mutant::RepeatsAllowedEarly,
         Mutant::StreamingConnectionPooled,
         Mutant::SilentPeriodSkipped,
         Mutant::PromiseForgotten,
--- a/tests/class_changes.rs
+++ b/tests/class_changes.rs
@@ -170,6 +170,22 @@
     }
 }
 
+// Regression: the rules of a reload bind when clients know of it, 1.2 s later. A write that came in between
+// was repeated, though its class allowed no repeat until then.
+#[test]
+fn a_class_is_repeated_more_freely_only_when_clients_know_of_it() {
+    let script = [Reply::Error("XX000"), Reply::Error("XX000"), Reply::Row(b"again")];
+    let (host, gateway, config) = start(script.into(), |config| with_writes(config, UNSAFE));
+    let mut client = gateway.client();
+    reload(&gateway, &with_writes(&config, SAFE));
+    client.write(&query(&write("b1")));
+    expect_failed(&mut client);
+    assert_eq!(host.new_queries().len(), 1);
+    std::thread::sleep(OVERLAP);
+    assert_eq!(kinds(&client.query(&write("b2"))), "TDCZ");
+    assert_eq!(host.new_queries().len(), 2);
+}
+
 // Regression: a second reload within the time for which clients may use a removed class ended that time.
 #[test]
 fn a_removed_class_is_served_for_its_time_though_another_reload_follows() {
