Model rules: a class that is cut off breaks its property instead of ending the checker

The injected fault ClassIndexReused cuts a class of an open request off the table now that settings without it are in the model. The property is the same.

--- a/crates/models/src/rules.rs
+++ b/crates/models/src/rules.rs
@@ -190,7 +190,7 @@
 
     fn check(&mut self) {
         let is_unchanged =
-            self.open.iter().all(|request| *self.classes.class(request.index) == request.class);
+            self.open.iter().all(|request| self.classes.table().get(request.index) == Some(&request.class));
         self.require(is_unchanged, UNCHANGED);
         // The classes of two settings, and one class for each query and open request.
         let bound = 2 * NAMES.len() + self.queries.len() + self.open.len();
