Soak: settings change under load, orders wait behind statements, reloads follow answers

Change: reloads write another version of the settings (an order's effect, the number of attempts, an added class); orders are sent behind a statement on the same connection; hosts answer the first execution of an order with XX000; no order that was sent while its class allowed no repeat may run twice. A second test changes settings only: statements outlast the overlap, and a SIGHUP follows each of their answers at once.

Check changed: CLASSES has a fifth class, the orders. The shares and the execution times of the other four, and all bounds, are as before.

--- a/crates/test-support/src/connection.rs
+++ b/crates/test-support/src/connection.rs
@@ -55,6 +55,15 @@
         self.stream.write_all(&query(text)).await
     }
 
+    /// Sends bytes, such as several messages at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection has ended.
+    pub async fn send_bytes(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
     /// Reads the messages of an answer, up to and including ReadyForQuery.
     ///
     /// # Errors
--- a/tests/faulty_fleet/classes.rs
+++ b/tests/faulty_fleet/classes.rs
@@ -1,7 +1,7 @@
 //! The request classes of the clients: their shares, execution times and settings.
 
 use super::{uniform, Plan};
-use petrelgauge_test_support::{ClassSettings, DeploymentSettings};
+use petrelgauge_test_support::{replace_parts, ClassSettings, DeploymentSettings};
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
 
@@ -28,6 +28,8 @@
 pub const LONG: usize = 2;
 /// Index of the class of writes.
 pub const WRITE: usize = 3;
+/// Index of the class of orders. Its effect depends on the variant of the settings.
+pub const ORDER: usize = 4;
 /// How long hosts remember the idempotency key of a write.
 pub const KEY_WINDOW: Duration = ms(3_000);
 /// The longest deadline of any class.
@@ -65,11 +67,36 @@
     ..READ
 };
 
-pub const CLASSES: [Class; 4] = [
+/// A write without an idempotency key.
+const ORDER_WRITE: ClassSettings = ClassSettings { name: "order", key_window: None, ..KEYED_WRITE };
+/// A class that only some settings have, and that no client uses.
+const EXTRA: ClassSettings = ClassSettings { name: "extra", ..READ };
+
+/// What changes from one version of the settings to another.
+#[derive(Clone, Copy, Debug)]
+pub struct Variant {
+    /// Whether orders must not be repeated.
+    pub orders_are_unsafe: bool,
+    /// Maximum attempts of a request.
+    pub attempts: usize,
+    /// Whether there is an extra class, before all others.
+    pub has_extra: bool,
+}
+
+/// The versions of the settings. Gateways start with the first.
+pub const VARIANTS: [Variant; 4] = [
+    Variant { orders_are_unsafe: true, attempts: 8, has_extra: false },
+    Variant { orders_are_unsafe: true, attempts: 7, has_extra: false },
+    Variant { orders_are_unsafe: false, attempts: 8, has_extra: false },
+    Variant { orders_are_unsafe: false, attempts: 6, has_extra: true },
+];
+
+pub const CLASSES: [Class; 5] = [
     Class { execution_time: ms(60), settings: BOUNDED_READ },
     Class { execution_time: ms(60), settings: READ },
     Class { execution_time: ms(600), settings: LONG_STATEMENT },
     Class { execution_time: ms(35), settings: KEYED_WRITE },
+    Class { execution_time: ms(35), settings: ORDER_WRITE },
 ];
 
 /// Samples the class of a request.
@@ -102,9 +129,19 @@
     CLASSES.iter().position(|class| class.settings.name == name)
 }
 
-/// The deployment's settings, as JSON.
-pub fn settings_json(plan: &Plan) -> String {
-    let classes = CLASSES.iter().map(|class| class.settings);
+/// A variant of the deployment's settings, as JSON.
+pub fn settings_json(plan: &Plan, variant: Variant) -> String {
+    let extra = variant.has_extra.then_some(EXTRA);
+    let classes = extra.into_iter().chain(CLASSES.iter().map(|class| class.settings)).collect();
     let Plan { gateways, slow_start, .. } = *plan;
-    DeploymentSettings { gateways, zone: 'a', classes: classes.collect(), slow_start }.json()
+    let json = DeploymentSettings { gateways, zone: 'a', classes, slow_start }.json();
+    let attempts = format!("\"attempts_cap\":{}", variant.attempts);
+    let granularity = format!("\"granularity_us\":{}", plan.granularity.as_micros());
+    let json =
+        replace_parts(&json, &[("\"attempts_cap\":8", &attempts), ("\"granularity_us\":5000", &granularity)]);
+    if variant.orders_are_unsafe {
+        replace_parts(&json, &[("\"safe\",\"name\":\"order\"", "\"unsafe\",\"name\":\"order\"")])
+    } else {
+        json
+    }
 }
--- a/tests/faulty_fleet/clients.rs
+++ b/tests/faulty_fleet/clients.rs
@@ -68,7 +68,7 @@
 }
 
 impl RequestLog {
-    fn next_number(&self) -> u64 {
+    pub(super) fn next_number(&self) -> u64 {
         self.last_number.set(self.last_number.get() + 1);
         self.last_number.get()
     }
@@ -77,9 +77,9 @@
 /// The clients of one gateway.
 pub struct Clients {
     plan: Plan,
-    clock: Clock,
-    gateway: Rc<FleetGateway>,
-    request_log: Rc<RequestLog>,
+    pub(super) clock: Clock,
+    pub(super) gateway: Rc<FleetGateway>,
+    pub(super) request_log: Rc<RequestLog>,
     load: Rc<Cell<f64>>,
     idle: Rc<RefCell<Vec<Connection>>>,
 }
@@ -103,9 +103,9 @@
     }
 
     /// Sends requests at the rate of the load; none while the load is 0. Never returns.
-    pub async fn run(self) {
+    pub async fn run(self: Rc<Self>) {
         let mut rng = Pcg64Mcg::seed_from_u64(self.plan.seed << 20 | self.gateway.number as u64);
-        let clients = Rc::new(self);
+        let clients = self;
         let capacity = Host::capacity(&clients.plan) * clients.plan.hosts as f64;
         loop {
             let rate = clients.load.get() * capacity / clients.plan.gateways as f64;
@@ -163,7 +163,7 @@
     }
 
     /// Takes an idle connection, or opens one if there is none or `is_new` is set.
-    async fn connection(&self, is_new: bool) -> Option<Connection> {
+    pub(super) async fn connection(&self, is_new: bool) -> Option<Connection> {
         if let Some(connection) = self.idle.borrow_mut().pop().filter(|_| !is_new) {
             return Some(connection);
         }
@@ -209,7 +209,7 @@
 }
 
 /// Waits for a reset behind the end of a connection.
-async fn is_followed_by_reset(connection: &Connection, clock: Clock) -> bool {
+pub(super) async fn is_followed_by_reset(connection: &Connection, clock: Clock) -> bool {
     let until = clock.now() + RESET_TIMEOUT.as_micros() as Time;
     while clock.now() < until {
         if matches!(connection.take_error(), Ok(Some(_))) {
@@ -221,7 +221,7 @@
 }
 
 /// The outcome that the messages of an answer state.
-fn outcome_of(messages: &[Message], id: &str) -> Outcome {
+pub(super) fn outcome_of(messages: &[Message], id: &str) -> Outcome {
     if let Some((_, body)) = messages.iter().find(|(kind, _)| *kind == b'E') {
         let code = field(body, b'C');
         return if code == "53300" || code == "57P03" {
--- a/tests/faulty_fleet/gateways.rs
+++ b/tests/faulty_fleet/gateways.rs
@@ -1,6 +1,6 @@
 //! The gateways of a fleet: their configuration, and the history of starts and signals of their processes.
 
-use super::classes;
+use super::classes::{self, Variant, VARIANTS};
 use super::list::EndpointList;
 use super::{Clock, Plan, Time};
 use petrelgauge_test_support::{gateway_program, GatewayFiles, GatewayProcess, LoopbackNetwork};
@@ -9,10 +9,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Marks the place of the settings in a configuration.
+const SETTINGS_MARK: &str = "SETTINGS";
 /// Last byte of the first gateway's IP address; the others take the bytes that follow.
 const FIRST_GATEWAY: u8 = 100;
 /// Time limit for a gateway to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time after SIGHUP from which clients know of new settings, so that their rules bind.
+const SETTINGS_KNOWN_AFTER: Duration = Duration::from_millis(1_200);
 /// SIGKILL follows SIGTERM after the longest deadline (3 s) plus this margin.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 
@@ -43,6 +47,12 @@
     files: GatewayFiles,
     /// Starts and signals of its process with their times, in order.
     pub process_events: RefCell<Vec<(Time, ProcessEvent)>>,
+    /// The configuration without the settings, whose place is marked.
+    config: String,
+    /// The plan of the fleet.
+    plan: Plan,
+    /// The variants of the settings, each with the time from which its rules bind, in order.
+    settings: RefCell<Vec<(Time, Variant)>>,
     /// Number of processes that exited without being stopped or killed.
     pub crashes: Cell<usize>,
     /// Whether its process was started, and not stopped or killed since.
@@ -73,10 +83,12 @@
             list.service.address,
             plan.seed << 16 | number as u64,
             list.service.complete_list(),
-            classes::settings_json(&plan),
+            SETTINGS_MARK,
         );
-        std::fs::write(&files.config, config).expect("the configuration file is writable");
-        Rc::new(FleetGateway {
+        let gateway = FleetGateway {
+            config,
+            plan,
+            settings: RefCell::new(vec![(0, VARIANTS[0])]),
             clock,
             number,
             process,
@@ -85,7 +97,35 @@
             crashes: Cell::new(0),
             is_expected_to_run: Cell::new(false),
             is_being_replaced: Cell::new(false),
-        })
+        };
+        gateway.write_config(VARIANTS[0]);
+        Rc::new(gateway)
+    }
+
+    fn write_config(&self, variant: Variant) {
+        let settings = classes::settings_json(&self.plan, variant);
+        let config = self.config.replace(SETTINGS_MARK, &settings);
+        std::fs::write(&self.files.config, config).expect("the configuration file is writable");
+    }
+
+    /// Writes a variant of the settings and sends SIGHUP.
+    pub fn reload(&self, variant: Variant) {
+        self.write_config(variant);
+        let binds_at = self.clock.now() + SETTINGS_KNOWN_AFTER.as_micros() as Time;
+        self.settings.borrow_mut().push((binds_at, variant));
+        self.process.signal("HUP");
+    }
+
+    /// Sends SIGHUP without a change of the file.
+    pub fn signal_reload(&self) {
+        self.process.signal("HUP");
+    }
+
+    /// The settings whose rules bind at this time.
+    pub fn binding_settings(&self, at: Time) -> Variant {
+        let settings = self.settings.borrow();
+        let binding = settings.iter().rev().find(|(binds_at, _)| *binds_at <= at);
+        binding.map_or(VARIANTS[0], |(_, variant)| *variant)
     }
 
     /// Starts a process.
@@ -93,7 +133,13 @@
         let log_level = std::env::var("FLEET_LOG").unwrap_or_else(|_| "info".to_string());
         self.process.start(&[("RUST_LOG", &log_level)]).expect("the gateway starts");
         self.is_expected_to_run.set(true);
-        self.process_events.borrow_mut().push((self.clock.now(), ProcessEvent::Start));
+        let now = self.clock.now();
+        self.process_events.borrow_mut().push((now, ProcessEvent::Start));
+        // A new process has read the file as it is.
+        let mut settings = self.settings.borrow_mut();
+        let newest = settings.last().map_or(VARIANTS[0], |(_, variant)| *variant);
+        settings.retain(|(binds_at, _)| *binds_at <= now);
+        settings.push((now, newest));
     }
 
     /// Waits until the gateway is ready; panics with its log after `READY_TIMEOUT`.
--- a/tests/faulty_fleet/hosts.rs
+++ b/tests/faulty_fleet/hosts.rs
@@ -1,7 +1,8 @@
 //! Emulated database hosts. A host executes a bounded number of requests at a time, more slowly during its
 //! slow start, and records every request that reaches it.
 
-use super::classes::{class_index, mean_execution_time, CLASSES};
+use super::classes::{class_index, mean_execution_time, CLASSES, ORDER};
+use super::orders::{is_slow_statement, SLOW_EXECUTION_TIME};
 use super::{uniform, Clock, Plan, Time};
 use petrelgauge_test_support::{error, message, parameter_status, ready_for_query, row, HostConnection};
 use rand_core::SeedableRng;
@@ -72,6 +73,8 @@
     pub is_primary: Cell<bool>,
     /// All requests that reached it, in order of time.
     pub arrivals: RefCell<Vec<Arrival>>,
+    /// The ids of all orders that were executed, in order of time.
+    pub executed_orders: RefCell<Vec<String>>,
     /// All restarts since the fleet's start, in order of time.
     pub starts: RefCell<Vec<Start>>,
     /// Time of the last restart by the hosts' wall clock (Unix milliseconds); 0 if there was none.
@@ -99,6 +102,7 @@
             pending: Cell::new(0),
             is_primary: Cell::new(number == 0),
             arrivals: RefCell::default(),
+            executed_orders: RefCell::default(),
             starts: RefCell::default(),
             started_ms: Cell::new(0),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(plan.seed << 8 | number as u64)),
@@ -214,10 +218,26 @@
         let factor = 0.5 + uniform(&mut self.rng.borrow_mut());
         let execution_time =
             CLASSES[statement.arrival.class].execution_time.mul_f64(factor / self.capacity_share());
-        self.clock.sleep(execution_time).await;
+        let is_slow = is_slow_statement(&statement.arrival.id);
+        self.clock.sleep(if is_slow { SLOW_EXECUTION_TIME } else { execution_time }).await;
+        if statement.arrival.class == ORDER {
+            return self.answer(self.execute_order(&statement.arrival.id));
+        }
         self.answer(row(statement.arrival.id.as_bytes()))
     }
 
+    /// Executes an order. The first answer to it is an error that leaves open whether it has run.
+    fn execute_order(&self, id: &str) -> Vec<u8> {
+        let mut executed = self.executed_orders.borrow_mut();
+        let is_first = !executed.iter().any(|executed| executed == id);
+        executed.push(id.to_string());
+        if is_first {
+            error("XX000")
+        } else {
+            row(id.as_bytes())
+        }
+    }
+
     fn answer(&self, body: Vec<u8>) -> Vec<u8> {
         let role = if self.is_primary.get() { "primary" } else { "standby" };
         let position = self.clock.unix_ms().to_string();
--- a/tests/faulty_fleet/invariants.rs
+++ b/tests/faulty_fleet/invariants.rs
@@ -1,6 +1,6 @@
 //! The invariants of a fleet, checked against the records of hosts and clients.
 
-use super::classes::{self, CLASSES, KEY_WINDOW};
+use super::classes::{self, CLASSES, KEY_WINDOW, ORDER};
 use super::clients::{Outcome, Record};
 use super::gateways::ProcessEnd;
 use super::hosts::{Arrival, Host};
@@ -88,6 +88,7 @@
     check_drains(fleet, &mut violations);
     check_requests(fleet, &mut violations);
     check_attempts(fleet, &mut violations);
+    check_orders(fleet, &mut violations);
     for gateway in &fleet.gateways {
         gateway.check_crash();
         if gateway.crashes.get() > 0 || gateway.process.log().contains("panicked") {
@@ -163,6 +164,22 @@
     }
 }
 
+/// An order that was taken while its class allowed no repeat is executed once at most.
+fn check_orders(fleet: &Fleet, violations: &mut Vec<String>) {
+    let mut executions: BTreeMap<String, usize> = BTreeMap::new();
+    for host in &fleet.hosts {
+        host.executed_orders.borrow().iter().for_each(|id| *executions.entry(id.clone()).or_default() += 1);
+    }
+    for record in fleet.request_log.records.borrow().iter().filter(|record| record.class == ORDER) {
+        let gateway = &fleet.gateways[record.gateway];
+        let was_unsafe = |at: Time| gateway.binding_settings(at).orders_are_unsafe;
+        let count = executions.get(&record.id).copied().unwrap_or(0);
+        if count > 1 && was_unsafe(record.sent) && was_unsafe(record.sent + MACHINE_SLACK) {
+            violations.push(format!("executed {count} times: {record:?}"));
+        }
+    }
+}
+
 /// Counts of the requests by outcome, and the busiest slow start.
 pub fn summary(fleet: &Fleet) -> String {
     let records = fleet.request_log.records.borrow();
--- a/tests/faulty_fleet/mod.rs
+++ b/tests/faulty_fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod hosts;
 pub mod invariants;
 pub mod list;
+pub mod orders;
 pub mod schedule;
 
 use clients::{Clients, RequestLog};
@@ -79,6 +80,8 @@
     /// Share of requests that are long statements.
     pub long_share: f64,
     pub slow_start: SlowStart,
+    /// Shortest time between two steps of a gateway's decisions.
+    pub granularity: Duration,
     /// How far the hosts' wall clock is ahead of the gateways' (milliseconds).
     pub hosts_ahead_ms: i64,
     pub seed: u64,
@@ -92,6 +95,8 @@
     pub list: Rc<EndpointList>,
     pub gateways: Vec<Rc<FleetGateway>>,
     pub request_log: Rc<RequestLog>,
+    /// The clients of each gateway.
+    pub clients: Vec<Rc<Clients>>,
     /// Current offered load, as a share of the capacity of all warm hosts.
     pub load: Rc<Cell<f64>>,
     /// Faults and other actions with their times, for the report of a violation.
@@ -117,11 +122,13 @@
         }
         let load = Rc::new(Cell::new(plan.load));
         let request_log = Rc::new(RequestLog::default());
-        for gateway in &gateways {
-            let clients = Clients::new(plan, clock, gateway.clone(), request_log.clone(), load.clone());
-            tokio::task::spawn_local(clients.run());
-        }
-        Rc::new(Fleet { plan, clock, hosts, list, gateways, request_log, load, history: RefCell::default() })
+        let new_clients = |gateway: &Rc<FleetGateway>| {
+            Rc::new(Clients::new(plan, clock, gateway.clone(), request_log.clone(), load.clone()))
+        };
+        let clients: Vec<Rc<Clients>> = gateways.iter().map(new_clients).collect();
+        clients.iter().for_each(|clients| drop(tokio::task::spawn_local(clients.clone().run())));
+        let history = RefCell::default();
+        Rc::new(Fleet { plan, clock, hosts, list, gateways, request_log, clients, load, history })
     }
 
     /// Adds an entry with the current time to the history.
--- a/tests/faulty_fleet/schedule.rs
+++ b/tests/faulty_fleet/schedule.rs
@@ -1,7 +1,9 @@
 //! Fault schedules that are sampled from a seed. A schedule is plain data: it can be printed, and the same
 //! seed samples it again.
 
+use super::classes::{LONGEST_DEADLINE, VARIANTS};
 use super::hosts::Mode;
+use super::orders::{AfterStatement, SLOW_EXECUTION_TIME};
 use super::{index_below, uniform, Fleet, Plan};
 use petrelgauge_test_support::{ServiceState, SlowStart};
 use rand_core::SeedableRng;
@@ -24,6 +26,14 @@
 const RELOAD_SIGNALS: RangeInclusive<usize> = 2..=4;
 /// Time between two signals of a fault (milliseconds).
 const SIGNAL_INTERVAL: u64 = 120;
+/// Number of changes of the settings in a schedule of changes.
+const CHANGES: u64 = 5;
+/// Time from one of them to the next (milliseconds).
+const CHANGE_INTERVAL: u64 = 4_000;
+/// Orders that each gateway gets at a change.
+const ORDERS_OF_GATEWAY: usize = 3;
+/// Time between two of them (milliseconds).
+const ORDER_INTERVAL: u64 = 30;
 /// How long a gateway stays stopped by SIGSTOP (milliseconds).
 const STALL_SPAN: u64 = 120;
 /// Time from the drain of a host to the start of its replacement (milliseconds).
@@ -49,8 +59,11 @@
     KillGateways { gateways: Vec<usize> },
     /// SIGSTOP, and SIGCONT after `STALL_SPAN`.
     StallGateways { gateways: Vec<usize> },
-    /// SIGHUP, `times` times.
+    /// The settings change `times` times, by SIGHUP.
     ReloadGateways { gateways: Vec<usize>, times: usize },
+    /// The settings change to the first variant. After `pause`, clients send orders behind slow statements, and
+    /// before the statements end, the settings change to the second variant.
+    ChangeSettings { first: usize, pause: u64, second: usize },
     /// An outage of the list service.
     DiscoveryOutage { state: ServiceState, span: u64 },
     /// The offered load is multiplied.
@@ -89,6 +102,7 @@
             load: 0.45 + 0.4 * uniform(&mut rng),
             long_share: 0.03 + 0.07 * uniform(&mut rng),
             slow_start,
+            granularity: Duration::from_millis(5),
             hosts_ahead_ms: [0, 0, 0, 3_600_000, -3_600_000][index_below(&mut rng, 5)],
             seed,
         };
@@ -103,6 +117,33 @@
         Schedule { plan, steps }
     }
 
+    /// Samples a small fleet whose settings change under load, and no other faults.
+    pub fn sample_changes(seed: u64) -> Schedule {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let plan = Plan {
+            gateways: 2,
+            hosts: 3,
+            load: 0.3 + 0.2 * uniform(&mut rng),
+            long_share: 0.03,
+            slow_start: SlowStart::DEFAULT,
+            // Long enough that a SIGHUP right behind an answer comes before the next step.
+            granularity: Duration::from_millis(50),
+            hosts_ahead_ms: 0,
+            seed,
+        };
+        let mut sample = |change: u64| {
+            let pause = [60, 1_300][index_below(&mut rng, 2)];
+            let first = index_below(&mut rng, VARIANTS.len());
+            let second = index_below(&mut rng, VARIANTS.len());
+            // The first change adds classes behind all others, and takes them away again.
+            let (first, pause, second) = if change == 0 { (1, 60, 0) } else { (first, pause, second) };
+            let at = WARM_UP + change * CHANGE_INTERVAL;
+            Step { at, fault: Fault::ChangeSettings { first, pause, second } }
+        };
+        let steps = (0..CHANGES).map(&mut sample).collect();
+        Schedule { plan, steps }
+    }
+
     /// Injects the faults at their times.
     pub async fn run(self, fleet: Rc<Fleet>) {
         let started = fleet.clock.now();
@@ -189,11 +230,17 @@
             gateways.iter().for_each(|gateway| fleet.gateways[*gateway].process.signal("CONT"));
         }
         Fault::ReloadGateways { gateways, times } => {
-            for _ in 0..times {
-                gateways.iter().for_each(|gateway| fleet.gateways[*gateway].process.signal("HUP"));
+            for time in 1..=times {
+                let variant = VARIANTS[time % VARIANTS.len()];
+                gateways.iter().for_each(|gateway| fleet.gateways[*gateway].reload(variant));
+                let clients = gateways.iter().map(|gateway| &fleet.clients[*gateway]);
+                clients.for_each(|clients| clients.issue_order_behind_statement(AfterStatement::Nothing));
                 fleet.wait(SIGNAL_INTERVAL).await;
             }
         }
+        Fault::ChangeSettings { first, pause, second } => {
+            change_settings(&fleet, first, pause, second).await;
+        }
         Fault::DiscoveryOutage { state, span } => {
             fleet.list.set_state(state);
             fleet.wait(span).await;
@@ -215,6 +262,20 @@
     }
 }
 
+/// Changes the settings before and after orders are sent behind slow statements. Each answer to a statement is
+/// followed by another SIGHUP at once.
+async fn change_settings(fleet: &Fleet, first: usize, pause: u64, second: usize) {
+    fleet.gateways.iter().for_each(|gateway| gateway.reload(VARIANTS[first]));
+    fleet.wait(pause).await;
+    for _ in 0..ORDERS_OF_GATEWAY {
+        let clients = fleet.clients.iter();
+        clients.for_each(|clients| clients.issue_order_behind_statement(AfterStatement::SignalReload));
+        fleet.wait(ORDER_INTERVAL).await;
+    }
+    fleet.gateways.iter().for_each(|gateway| gateway.reload(VARIANTS[second]));
+    fleet.clock.sleep(SLOW_EXECUTION_TIME + LONGEST_DEADLINE).await;
+}
+
 /// Stops gateways at intervals of `SIGNAL_INTERVAL`, and starts the new process of each when the old one has
 /// ended.
 async fn stop_gateways(fleet: &Fleet, gateways: &[usize]) {
--- a/tests/slow_start_fleet.rs
+++ b/tests/slow_start_fleet.rs
@@ -30,6 +30,7 @@
             load: 0.75,
             long_share: 0.1,
             slow_start: SLOW_START,
+            granularity: Duration::from_millis(5),
             hosts_ahead_ms: 0,
             seed,
         };
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -26,8 +26,7 @@
     has_violations: bool,
 }
 
-fn run_seed(seed: u64) -> RunResult {
-    let schedule = Schedule::sample(seed);
+fn run_schedule(seed: u64, schedule: Schedule) -> RunResult {
     let text = format!("{schedule:?}");
     let fleet = run_fleet(schedule.plan, |fleet| schedule.run(fleet));
     let violations = invariants::violations(&fleet);
@@ -48,6 +47,17 @@
 
 #[test]
 fn fleets_keep_the_invariants_under_seeded_faults() {
+    run_seeds(Schedule::sample);
+}
+
+// Queries wait behind slow statements while the settings change, and reloads come right behind answers.
+#[test]
+fn fleets_keep_the_invariants_while_their_settings_change() {
+    run_seeds(Schedule::sample_changes);
+}
+
+/// Runs the schedules of all seeds, some of them beside each other.
+fn run_seeds(sample: fn(u64) -> Schedule) {
     let concurrency = std::env::var("SOAK_BESIDE")
         .map_or(CONCURRENT_RUNS, |text| text.parse().expect("SOAK_BESIDE is a number"));
     let pending: Mutex<VecDeque<u64>> = Mutex::new(seeds().collect());
@@ -58,7 +68,7 @@
             scope.spawn(move || loop {
                 let next = pending.lock().expect("no run has panicked").pop_front();
                 let Some(seed) = next else { return };
-                let RunResult { report, has_violations } = run_seed(seed);
+                let RunResult { report, has_violations } = run_schedule(seed, sample(seed));
                 println!("{report}");
                 if has_violations {
                     failed.lock().expect("no run has panicked").push(seed);
