--- a/tests/faulty_fleet/clients.rs
+++ b/tests/faulty_fleet/clients.rs
@@ -85,7 +85,7 @@
 }
 
 /// The result of a request on one connection.
-enum Reply {
+pub(super) enum Reply {
     Ended(Outcome),
     /// The connection ended before the request was read: it may be sent again.
     Unread,
@@ -188,28 +188,40 @@
             self.clock.sleep(deadline / 8).await;
             return Reply::Ended(Outcome::Disconnected);
         }
-        let outcome = match timeout(deadline + LATEST_ANSWER, connection.read_until_ready()).await {
-            Err(_) => return Reply::Ended(Outcome::Lost("no final answer in time")),
-            Ok(Ok(messages)) => outcome_of(&messages, id),
-            // A reset means that the query was not read, or that the process was killed.
-            Ok(Err(ConnectionEnd::Reset)) => return Reply::Unread,
-            Ok(Err(ConnectionEnd::Closed)) if is_followed_by_reset(&connection, self.clock).await => {
-                return Reply::Unread
-            }
-            Ok(Err(ConnectionEnd::Malformed)) => {
-                return Reply::Ended(Outcome::Lost("answered with malformed bytes"))
+        match self.read_answer(&mut connection, id, deadline + LATEST_ANSWER).await {
+            Ok(outcome) => {
+                self.idle.borrow_mut().push(connection);
+                Reply::Ended(outcome)
             }
-            Ok(Err(ConnectionEnd::Closed)) => {
-                return Reply::Ended(Outcome::Lost("connection closed without a reset"))
+            Err(reply) => reply,
+        }
+    }
+
+    /// Reads the answer to a request. Without a complete answer in time, returns the result of the request as an
+    /// error; the connection is of no further use.
+    pub(super) async fn read_answer(
+        &self,
+        connection: &mut Connection,
+        id: &str,
+        limit: Duration,
+    ) -> Result<Outcome, Reply> {
+        let lost = |cause| Err(Reply::Ended(Outcome::Lost(cause)));
+        match timeout(limit, connection.read_until_ready()).await {
+            Err(_) => lost("no final answer in time"),
+            Ok(Ok(messages)) => Ok(outcome_of(&messages, id)),
+            // A reset means that the query was not read, or that the process was killed.
+            Ok(Err(ConnectionEnd::Reset)) => Err(Reply::Unread),
+            Ok(Err(ConnectionEnd::Closed)) if is_followed_by_reset(connection, self.clock).await => {
+                Err(Reply::Unread)
             }
-        };
-        self.idle.borrow_mut().push(connection);
-        Reply::Ended(outcome)
+            Ok(Err(ConnectionEnd::Malformed)) => lost("answered with malformed bytes"),
+            Ok(Err(ConnectionEnd::Closed)) => lost("connection closed without a reset"),
+        }
     }
 }
 
 /// Waits for a reset behind the end of a connection.
-pub(super) async fn is_followed_by_reset(connection: &Connection, clock: Clock) -> bool {
+async fn is_followed_by_reset(connection: &Connection, clock: Clock) -> bool {
     let until = clock.now() + RESET_TIMEOUT.as_micros() as Time;
     while clock.now() < until {
         if matches!(connection.take_error(), Ok(Some(_))) {
@@ -221,7 +233,7 @@
 }
 
 /// The outcome that the messages of an answer state.
-pub(super) fn outcome_of(messages: &[Message], id: &str) -> Outcome {
+fn outcome_of(messages: &[Message], id: &str) -> Outcome {
     if let Some((_, body)) = messages.iter().find(|(kind, _)| *kind == b'E') {
         let code = field(body, b'C');
         return if code == "53300" || code == "57P03" {
--- a/tests/faulty_fleet/orders.rs
+++ b/tests/faulty_fleet/orders.rs
@@ -1,12 +1,11 @@
 //! Orders that clients send behind a statement on the same connection, so that they wait for their turn.
 
 use super::classes::{CLASSES, LONG, LONGEST_DEADLINE, ORDER};
-use super::clients::{is_followed_by_reset, outcome_of, Clients, Outcome, Record, LATEST_ANSWER};
+use super::clients::{Clients, Outcome, Record, Reply, LATEST_ANSWER};
 use super::Time;
-use petrelgauge_test_support::{query, Connection, ConnectionEnd};
+use petrelgauge_test_support::{query, Connection};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout;
 
 /// Execution time of a slow statement: longer than clients may use the classes before a reload, and shorter
 /// than the deadline of long statements.
@@ -77,15 +76,9 @@
 
     async fn answer(&self, connection: &mut Connection, id: &str, limit: Time) -> Outcome {
         let left = Duration::from_micros((limit - self.clock.now()).max(0) as u64);
-        match timeout(left, connection.read_until_ready()).await {
-            Err(_) => Outcome::Lost("no final answer in time"),
-            Ok(Ok(messages)) => outcome_of(&messages, id),
-            Ok(Err(ConnectionEnd::Reset)) => Outcome::NotAccepted,
-            Ok(Err(ConnectionEnd::Closed)) if is_followed_by_reset(connection, self.clock).await => {
-                Outcome::NotAccepted
-            }
-            Ok(Err(ConnectionEnd::Malformed)) => Outcome::Lost("answered with malformed bytes"),
-            Ok(Err(ConnectionEnd::Closed)) => Outcome::Lost("connection closed without a reset"),
+        match self.read_answer(connection, id, left).await {
+            Ok(outcome) | Err(Reply::Ended(outcome)) => outcome,
+            Err(Reply::Unread) => Outcome::NotAccepted,
         }
     }
 }
