Log the accounted message memory beside the private memory of the process

The counters could not tell two hypotheses apart. A: messages keep the read-ahead buffer that they were cut from, so live buffers are larger than accounted. B: the allocator keeps freed memory. Under A private memory falls when the clients have left, under B it stays. Change: a log line 'memory' behind 'counters' (SIGUSR1 and exit): accounted bytes, their peak and limit, private bytes, open clients.

--- a/src/os/mod.rs
+++ b/src/os/mod.rs
@@ -7,6 +7,7 @@
 //! | [`socket_error`] | their errors, classified by how the caller must react |
 //! | [`system_call`] | the kinds of these calls, and fault injection for tests |
 //! | [`clock`] | Unix time that does not jump |
+//! | [`process_memory`] | the private memory of the process |
 //! | [`signals`] | the signals that the gateway handles |
 //! | [`inherited`] | the listening socket inherited from the platform |
 //!
@@ -16,6 +17,7 @@
 pub mod clock;
 pub mod datagram;
 pub mod inherited;
+pub mod process_memory;
 pub mod signals;
 pub mod socket;
 pub mod socket_error;
--- a/src/process/gateway.rs
+++ b/src/process/gateway.rs
@@ -7,7 +7,9 @@
 use petrelgauge::control::{ControlPlane, Reloaded};
 use petrelgauge::handover::HandoverExchange;
 use petrelgauge::os::clock::Clock;
+use petrelgauge::os::process_memory;
 use petrelgauge::os::signals::{Signal, Signals};
+use petrelgauge::resources::budget::MemoryUsage;
 use petrelgauge::resources::counters::Counters;
 use petrelgauge::Time;
 use petrelgauge_handover::Reservation;
@@ -203,6 +205,17 @@
         self.control.facade.read(|table| table.settings_version())
     }
 
+    /// Logs the message memory that the connections account for beside what the process really needs.
+    fn log_memory(&self) {
+        let budget = &self.client_context.budget;
+        let MemoryUsage { used_bytes, peak_bytes, max_bytes } = budget.memory_usage();
+        let clients = budget.client_count();
+        let private_bytes = process_memory::private_bytes().unwrap_or_default();
+        log::info!(
+            "memory message_bytes={used_bytes} message_peak_bytes={peak_bytes} message_limit_bytes={max_bytes} private_bytes={private_bytes} clients={clients}"
+        );
+    }
+
     fn log_counters(&self) {
         let sessions = self.control.facade.read(|table| table.session_counts());
         let sessions =
@@ -215,5 +228,6 @@
             sessions.unwrap_or_default(),
             leadership.unwrap_or_default()
         );
+        self.log_memory();
     }
 }
--- a/src/resources/budget/memory.rs
+++ b/src/resources/budget/memory.rs
@@ -13,10 +13,23 @@
 /// Bytes that each connection may hold regardless of the total usage; enough for typical messages.
 const GUARANTEED_BYTES: usize = 4 * 1024;
 
+/// The message memory in use (bytes).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryUsage {
+    /// What all connections hold now.
+    pub used_bytes: usize,
+    /// The most that they have held at one time.
+    pub peak_bytes: usize,
+    /// The limit.
+    pub max_bytes: usize,
+}
+
 /// Limit and usage of the message memory.
 pub(super) struct MemoryBudget {
     max_bytes: Cell<usize>,
     used_bytes: Cell<usize>,
+    /// The most that was in use at one time.
+    peak_bytes: Cell<usize>,
     /// Notified whenever a connection shrinks its reservation or releases the reserve.
     released: Notify,
     /// Whether a connection holds the reserve.
@@ -28,6 +41,7 @@
         Rc::new(MemoryBudget {
             max_bytes: Cell::new(max_bytes),
             used_bytes: Cell::new(0),
+            peak_bytes: Cell::new(0),
             released: Notify::new(),
             is_reserve_in_use: Cell::new(false),
         })
@@ -41,6 +55,19 @@
     pub(super) fn used_bytes(&self) -> usize {
         self.used_bytes.get()
     }
+
+    pub(super) fn usage(&self) -> MemoryUsage {
+        MemoryUsage {
+            used_bytes: self.used_bytes.get(),
+            peak_bytes: self.peak_bytes.get(),
+            max_bytes: self.max_bytes.get(),
+        }
+    }
+
+    fn set_used_bytes(&self, bytes: usize) {
+        self.used_bytes.set(bytes);
+        self.peak_bytes.set(self.peak_bytes.get().max(bytes));
+    }
 }
 
 /// The bytes reserved by one connection, released on drop.
@@ -72,7 +99,7 @@
     /// a reduction always is. The bytes are counted in either case.
     pub fn resize(&mut self, bytes: usize) -> bool {
         let used_bytes = self.budget.used_bytes.get() - self.bytes + bytes;
-        self.budget.used_bytes.set(used_bytes);
+        self.budget.set_used_bytes(used_bytes);
         let previous_bytes = std::mem::replace(&mut self.bytes, bytes);
         if bytes < previous_bytes {
             self.budget.released.notify_waiters();
--- a/src/resources/budget/mod.rs
+++ b/src/resources/budget/mod.rs
@@ -10,7 +10,7 @@
 
 pub use descriptors::DescriptorSlot;
 pub use idle_clients::IdleGuard;
-pub use memory::MemoryReservation;
+pub use memory::{MemoryReservation, MemoryUsage};
 pub use petrelgauge_lifecycle::client::Idleness;
 
 use crate::resources::budget::descriptors::{ConnectionKind, DescriptorCounts};
@@ -69,6 +69,16 @@
         Reservation { sockets, memory: self.memory.used_bytes(), open_requests: 0 }
     }
 
+    /// Returns the usage of the message memory.
+    pub fn memory_usage(&self) -> MemoryUsage {
+        self.memory.usage()
+    }
+
+    /// Number of open connections of clients.
+    pub fn client_count(&self) -> usize {
+        self.connections.client_count()
+    }
+
     /// Counts a connection to a host until the slot is dropped.
     pub fn acquire_host_slot(&self) -> DescriptorSlot {
         DescriptorSlot::new(&self.connections, ConnectionKind::Host)
