Account for messages at the size that they really hold

Cause: a message was a slice that kept the read-ahead buffer it was cut from, up to 320 KiB, while the budget counted the slice. With 275 clients 45,430 bytes were accounted for and 43,896,832 held. The allocator's remainder (24.8 MB after the last client had left) is a consequence of that peak. Change: messages are copied into allocations of their own size; the receive buffer shrinks with what is left in it and counts by its capacity, also for hosts and opening messages; a forwarded statement is accounted for until its last attempt ends, also when its client has left; queue entries count twice and are freed.

--- a/crates/lifecycle/src/read_ahead.rs
+++ b/crates/lifecycle/src/read_ahead.rs
@@ -25,8 +25,10 @@
     queued_bytes: usize,
     /// Bytes that have not been parsed into messages yet.
     unparsed_bytes: usize,
-    /// Size of the message that was dequeued last, until it has been handled.
+    /// Size of the message that was dequeued last, until it has been handled or handed over.
     current_bytes: usize,
+    /// The message that was dequeued last has not been handled.
+    is_handling: bool,
     /// Reading is paused, although the kernel may have received bytes.
     is_paused: bool,
     /// The last read left nothing in the kernel's buffer.
@@ -52,12 +54,13 @@
     /// Whether no message is queued or being answered. In that case the connection can't free memory by
     /// itself.
     pub fn has_no_message(&self) -> bool {
-        self.queued == 0 && self.current_bytes == 0
+        self.queued == 0 && !self.is_handling
     }
 
-    /// Number of bytes that the connection holds in memory.
-    pub fn buffered_bytes(&self) -> usize {
-        self.current_bytes + self.queued_bytes + self.unparsed_bytes
+    /// Number of bytes of the messages that are queued or being handled. Unparsed bytes are not among them:
+    /// the buffer that holds them may be larger than they are.
+    pub fn message_bytes(&self) -> usize {
+        self.current_bytes + self.queued_bytes
     }
 
     /// Records that reading pauses: bytes that arrive from now on are read later.
@@ -101,11 +104,18 @@
         self.queued = self.queued.saturating_sub(1);
         self.queued_bytes = self.queued_bytes.saturating_sub(size);
         self.current_bytes = size;
+        self.is_handling = true;
+    }
+
+    /// Records that the bytes of the message that is being handled are accounted for elsewhere.
+    pub fn on_handed_over(&mut self) {
+        self.current_bytes = 0;
     }
 
     /// Records that the message that was dequeued last has been handled.
     pub fn on_handled(&mut self) {
         self.current_bytes = 0;
+        self.is_handling = false;
     }
 
     /// Records how many unparsed bytes are left after some were dropped or consumed without being queued.
--- a/crates/lifecycle/tests/read_ahead.rs
+++ b/crates/lifecycle/tests/read_ahead.rs
@@ -28,9 +28,9 @@
     assert_eq!(ahead.allowance(), 0);
     ahead.on_dequeued(MAX_BYTES / 2);
     assert_eq!(ahead.allowance(), MAX_BYTES / 2);
-    assert_eq!(ahead.buffered_bytes(), MAX_BYTES);
+    assert_eq!(ahead.message_bytes(), MAX_BYTES);
     ahead.on_handled();
-    assert_eq!(ahead.buffered_bytes(), MAX_BYTES / 2);
+    assert_eq!(ahead.message_bytes(), MAX_BYTES / 2);
 }
 
 #[test]
--- a/crates/test-support/src/gateway.rs
+++ b/crates/test-support/src/gateway.rs
@@ -6,6 +6,7 @@
 use crate::network::ReservedPort;
 use crate::scripted_discovery::ScriptedDiscovery;
 use crate::time::TEST_TIMEOUT;
+use petrelgauge::os::process_memory::parse_private_bytes;
 use petrelgauge_lifecycle::client::{MAX_BACKOFF, MIN_BACKOFF};
 use std::cell::RefCell;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -108,10 +109,18 @@
         self.signal("HUP");
     }
 
+    /// Private memory of the process (bytes): without the pages of files, such as its program.
+    pub fn private_memory(&self) -> usize {
+        parse_private_bytes(&self.status()).expect("an RssAnon line")
+    }
+
+    fn status(&self) -> String {
+        std::fs::read_to_string(format!("/proc/{}/status", self.process_id())).expect("the process runs")
+    }
+
     /// Resident memory of the process (bytes).
     pub fn resident_memory(&self) -> usize {
-        let status =
-            std::fs::read_to_string(format!("/proc/{}/status", self.process_id())).expect("the process runs");
+        let status = self.status();
         let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a VmRSS line");
         let kilobytes: usize = line.trim().trim_end_matches("kB").trim().parse().expect("a number");
         kilobytes * 1024
--- a/crates/test-support/src/harness.rs
+++ b/crates/test-support/src/harness.rs
@@ -11,7 +11,7 @@
 use crate::settings::DeploymentSettings;
 use std::cell::RefCell;
 use std::io::BufReader;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::process::{Command, Stdio};
 use std::rc::Rc;
 
@@ -36,6 +36,7 @@
     updates: Vec<String>,
     later_updates: Vec<String>,
     sockets: usize,
+    memory_mb: usize,
     operator: Option<String>,
     ops: Option<String>,
     shared: Option<(TcpListener, String)>,
@@ -58,6 +59,7 @@
             updates: Vec::new(),
             later_updates: Vec::new(),
             sockets: 1024,
+            memory_mb: 192,
             operator: None,
             ops: None,
             shared: None,
@@ -87,13 +89,11 @@
 
     /// The list entries of hosts, each given with its phase and role, as comma-separated JSON objects.
     pub fn entries(&self, hosts: &[(&Host, &str, &str)]) -> String {
-        let entry = |(place, (host, phase, role)): (usize, &(&Host, &str, &str))| {
-            let address = &host.address;
-            format!(
-                r#"{{"id":"s-{place}","host_port":"{address}","locality":"a","cell":2,"phase":"{phase}","replication":"{role}","size":1.0,"up_since_ms":0}}"#
-            )
-        };
-        hosts.iter().enumerate().map(entry).collect::<Vec<_>>().join(",")
+        let entries = hosts
+            .iter()
+            .enumerate()
+            .map(|(place, (host, phase, role))| entry(place, &host.address, phase, role));
+        entries.collect::<Vec<_>>().join(",")
     }
 
     /// Sets the endpoint list of the initial configuration.
@@ -102,6 +102,12 @@
         self
     }
 
+    /// Sets the endpoint list of the initial configuration: one primary at this address.
+    pub fn list_primary_at(mut self, address: SocketAddr) -> Harness {
+        self.initial_entries = entry(0, &address.to_string(), "up", "primary");
+        self
+    }
+
     /// Sets the lines that the first watch receives after [`Gateway::send_later_updates`].
     pub fn later_updates(mut self, lines: &[&str]) -> Harness {
         self.later_updates = lines.iter().map(|line| line.to_string()).collect();
@@ -176,6 +182,12 @@
         self
     }
 
+    /// Sets the gateway's limit on memory (MiB).
+    pub fn memory_mb(mut self, memory_mb: usize) -> Harness {
+        self.memory_mb = memory_mb;
+        self
+    }
+
     /// The address of the discovery service.
     pub fn discovery_address(&self) -> String {
         self.discovery.local_addr().expect("valid socket address").to_string()
@@ -183,13 +195,13 @@
 
     /// The gateway's configuration, as JSON.
     pub fn config(&self) -> String {
-        let (listen, sockets, known) =
-            (&self.listen, self.sockets, list_line(FIRST_REVISION, true, &self.initial_entries));
+        let (listen, sockets, memory_mb) = (&self.listen, self.sockets, self.memory_mb);
+        let known = list_line(FIRST_REVISION, true, &self.initial_entries);
         let discovery = self.discovery_address();
         let settings = DeploymentSettings::single_gateway().json();
         let ops = self.ops.as_ref().map(|ops| format!(r#""ops":"{ops}","#)).unwrap_or_default();
         format!(
-            r#"{{{ops}"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
+            r#"{{{ops}"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f","limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
         )
     }
 
@@ -269,6 +281,13 @@
     }
 }
 
+/// One entry of an endpoint list, as JSON.
+fn entry(place: usize, address: &str, phase: &str, role: &str) -> String {
+    format!(
+        r#"{{"id":"s-{place}","host_port":"{address}","locality":"a","cell":2,"phase":"{phase}","replication":"{role}","size":1.0,"up_since_ms":0}}"#
+    )
+}
+
 /// Starts a discovery service whose first watch receives `updates` immediately and `later_updates` after a
 /// release; each further release ends a watch.
 fn serve_updates(listener: TcpListener, updates: &[String], later_updates: &[String]) -> ScriptedDiscovery {
--- a/src/client/answer.rs
+++ b/src/client/answer.rs
@@ -65,7 +65,7 @@
     async fn write_host_answer(&mut self, answer: HostAnswer, request: &ClientRequest) -> Result<(), End> {
         let context = self.context.clone();
         // The answer's memory stays reserved until the answer is written.
-        let HostAnswer { answer, memory } = answer;
+        let HostAnswer { answer, memory: _memory } = answer;
         match answer {
             AnswerBody::Streamed(row) => {
                 context.counters.served.add();
@@ -76,7 +76,6 @@
                 self.write_row(&messages, request).await
             }
             AnswerBody::Complete(Answer::Error(code)) => {
-                drop(memory);
                 context.counters.bad_statements.add();
                 let error = ErrorAnswer::new(&code, "the database cannot use the statement");
                 self.write_error(error, request).await
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -7,6 +7,7 @@
 //! | `acceptor` | a session for each accepted client |
 //! | `session` | one client's connection: drives its state machine from input, timers and gateway state |
 //! | `reader` | the messages of one client, with bounded read-ahead |
+//! | `message_queue` | the messages that a client has sent and that are not handled yet, and their memory |
 //! | `settings_tracker` | under which settings each message of one client was received |
 //! | `disconnect` | whether a client has closed its connection |
 //! | `client_event` | events on a client's connection |
@@ -34,6 +35,7 @@
 mod client_event;
 pub mod context;
 mod disconnect;
+mod message_queue;
 mod query;
 mod reader;
 mod request;
--- a/src/client/query.rs
+++ b/src/client/query.rs
@@ -27,7 +27,10 @@
             QueryOutcome::AnsweredLocally
         } else {
             match self.context.parse_request(query, &self.session_tokens) {
-                Ok(request) => return self.answer_request(request).await.map(|()| QueryOutcome::Request),
+                Ok(request) => {
+                    self.reader.hand_over_message();
+                    return self.answer_request(request).await.map(|()| QueryOutcome::Request);
+                }
                 Err(error) => self.put_unusable(&mut out, &error),
             }
             QueryOutcome::Unusable
--- a/src/client/reader.rs
+++ b/src/client/reader.rs
@@ -3,19 +3,16 @@
 use crate::client::client_event::{ClientEvent, Payload, ProtocolError, Query, ReadError};
 use crate::client::context::ClientContext;
 use crate::client::disconnect::{closed_by_client, is_closed_by_client};
+use crate::client::message_queue::{MessageQueue, QueuedMessage};
 use crate::client::settings_tracker::SettingsTracker;
-use crate::facade::SettingsHold;
 use crate::os::clock::Clock;
 use crate::os::socket::{self, SocketError};
 use crate::postgres::read_buffer::{self, ReadBuffer};
-use crate::postgres::{Framer, Message, Opening};
-use crate::resources::budget::MemoryReservation;
+use crate::postgres::Opening;
 use crate::resources::counters::Counters;
 use crate::Time;
 use petrelgauge_lifecycle::client::{ClientState, Event, MessageKind};
 use petrelgauge_lifecycle::ending::End;
-use petrelgauge_lifecycle::read_ahead::ReadAhead;
-use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio::net::tcp::ReadHalf;
 
@@ -36,24 +33,13 @@
     clock: Clock,
     read_buffer: Rc<ReadBuffer>,
     counters: Rc<Counters>,
-    memory: MemoryReservation,
-    framer: Framer,
-    /// Bounded by [`petrelgauge_lifecycle::read_ahead::MAX_QUEUED`].
-    queue: VecDeque<QueuedMessage>,
-    read_ahead: ReadAhead,
+    messages: MessageQueue,
     settings: SettingsTracker,
     /// Whether the startup message was received.
     has_started: bool,
     failure: Option<Failure>,
 }
 
-/// A message that was read ahead.
-struct QueuedMessage {
-    message: Message,
-    arrived_at: Time,
-    settings: SettingsHold,
-}
-
 /// A protocol error, and the time until which queries received before it may still be answered.
 #[derive(Clone, Copy)]
 struct Failure {
@@ -68,10 +54,7 @@
             clock: context.clock,
             read_buffer: context.read_buffer.clone(),
             counters: context.counters.clone(),
-            memory: context.budget.reserve_client_memory(),
-            framer: Framer::default(),
-            queue: VecDeque::new(),
-            read_ahead: ReadAhead::new(),
+            messages: MessageQueue::new(context.budget.reserve_client_memory()),
             settings: SettingsTracker::new(&context.facade),
             has_started: false,
             failure: None,
@@ -93,7 +76,7 @@
     pub(super) async fn disconnected(&mut self) -> End {
         loop {
             self.parse_messages();
-            if self.has_queued_terminate() {
+            if self.messages.has_terminate() {
                 return End::ClientTerminated;
             }
             let failure = self.failure;
@@ -132,7 +115,7 @@
     /// Reads and discards bytes until the client disconnects.
     pub(super) async fn discard_input(&mut self) {
         while self.read().await.is_ok() {
-            self.framer.clear();
+            self.messages.discard_unparsed();
         }
     }
 
@@ -145,8 +128,7 @@
     pub(super) fn fail(&mut self, error: ProtocolError) {
         let answer_deadline = self.clock.now() + ANSWER_GRACE_PERIOD;
         self.failure = self.failure.or(Some(Failure { error, answer_deadline }));
-        self.framer.clear();
-        self.read_ahead.set_unparsed_bytes(0);
+        self.messages.discard_unparsed();
     }
 
     /// Whether a protocol error that ends the connection with this `end` was recorded.
@@ -163,10 +145,10 @@
     /// message or a protocol error.
     pub(super) fn has_event(&mut self, state: ClientState) -> bool {
         if state == ClientState::Opening {
-            return self.failure.is_some() || self.framer.has_opening();
+            return self.failure.is_some() || self.messages.framer.has_opening();
         }
         self.parse_messages();
-        self.failure.is_some() || !self.queue.is_empty()
+        self.failure.is_some() || !self.messages.is_empty()
     }
 
     /// Whether reading is currently within its bounds.
@@ -176,18 +158,18 @@
 
     /// Whether the kernel buffer may still hold bytes that arrived before the last read.
     pub(super) fn may_have_unread(&self) -> bool {
-        self.read_ahead.may_have_unread()
+        self.messages.read_ahead.may_have_unread()
     }
 
     /// Whether an incomplete message is buffered.
     pub(super) fn has_partial_message(&self) -> bool {
-        !self.framer.is_empty()
+        !self.messages.framer.is_empty()
     }
 
     /// When the last bytes of an incomplete message were received, if there is one. Returns the current time
     /// while reading is paused for lack of memory, since the client does not cause that delay.
     pub(super) fn partial_at(&self) -> Option<Time> {
-        let at = if self.may_read() { self.read_ahead.last_read_at() } else { self.clock.now() };
+        let at = if self.may_read() { self.messages.read_ahead.last_read_at() } else { self.clock.now() };
         self.has_partial_message().then_some(at)
     }
 
@@ -204,9 +186,7 @@
 
     async fn read_opening(&mut self) -> Result<Opening, ReadError> {
         loop {
-            let opening = self.framer.opening();
-            self.read_ahead.set_unparsed_bytes(self.framer.len());
-            let opening = opening?;
+            let opening = self.messages.opening()?;
             if let Some(failure) = self.failure {
                 return Err(ReadError::Protocol(failure.error));
             }
@@ -228,13 +208,11 @@
     }
 
     async fn read_message(&mut self) -> Result<QueuedMessage, ReadError> {
-        self.read_ahead.on_handled();
-        self.memory.release_reserve();
+        self.messages.on_handled();
         loop {
             self.parse_messages();
             // Complete messages before a protocol error are answered first.
-            if let Some(queued) = self.queue.pop_front() {
-                self.read_ahead.on_dequeued(accounted_bytes(&queued.message));
+            if let Some(queued) = self.messages.pop() {
                 return Ok(queued);
             }
             if let Some(failure) = self.failure {
@@ -246,26 +224,17 @@
 
     /// Parses buffered bytes into messages, as many as may be queued.
     fn parse_messages(&mut self) {
-        while self.failure.is_none() && self.read_ahead.may_queue() {
-            match self.framer.message() {
-                Ok(Some(message)) => self.queue_message(message),
-                Ok(None) => break,
-                Err(malformed) => self.fail(malformed.into()),
-            }
+        if self.failure.is_some() {
+            return;
+        }
+        if let Err(malformed) = self.messages.parse(&mut self.settings) {
+            self.fail(malformed.into());
         }
-        self.memory.resize(self.read_ahead.buffered_bytes());
-    }
-
-    fn queue_message(&mut self, message: Message) {
-        let unparsed = self.framer.len();
-        self.read_ahead.on_queued(accounted_bytes(&message), unparsed);
-        let settings = self.settings.of_message(unparsed);
-        self.queue.push_back(QueuedMessage { message, arrived_at: self.read_ahead.arrived_at(), settings });
     }
 
-    fn has_queued_terminate(&self) -> bool {
-        let mut kinds = self.queue.iter().map(|queued| MessageKind::of(queued.message.kind()));
-        kinds.any(|kind| kind == MessageKind::Terminate)
+    /// Stops accounting for the message that was read last, which its request accounts for from now on.
+    pub(super) fn hand_over_message(&mut self) {
+        self.messages.hand_over();
     }
 
     /// Number of bytes that may be read now.
@@ -273,7 +242,7 @@
         match self.failure {
             // Bytes after an error are discarded; they are read only to detect the client's disconnect.
             Some(_) => read_buffer::SIZE,
-            None => self.read_ahead.allowance().min(self.memory.available()),
+            None => self.messages.allowance(),
         }
     }
 
@@ -284,19 +253,19 @@
     async fn wait_for_allowance(&mut self) -> Result<usize, End> {
         loop {
             // Created before the allowance is checked, so that no release in between is missed.
-            let released = self.memory.released();
+            let released = self.messages.memory.released();
             let allowance = self.allowance();
             if allowance > 0 {
                 return Ok(allowance);
             }
-            if self.read_ahead.has_no_message() && self.memory.acquire_reserve() {
+            if self.messages.acquire_reserve() {
                 continue;
             }
-            if !self.read_ahead.is_paused() {
-                self.read_ahead.pause();
+            if !self.messages.read_ahead.is_paused() {
+                self.messages.read_ahead.pause();
                 self.counters.read_pauses.add();
             }
-            let waits_for_memory = self.read_ahead.allowance() > 0;
+            let waits_for_memory = self.messages.read_ahead.allowance() > 0;
             tokio::select! {
                 biased;
                 () = closed_by_client(&self.stream) => return Err(End::ClientLeft),
@@ -329,7 +298,7 @@
     /// Records that what the client has sent so far was received under the settings before a change.
     fn on_settings_changed(&mut self) {
         let unread = socket::unread_count(self.stream.as_ref());
-        self.settings.on_changed(self.framer.len(), unread);
+        self.settings.on_changed(self.messages.framer.len(), unread);
     }
 
     /// Reads once, as soon as it is allowed.
@@ -357,7 +326,7 @@
     /// Reads what is available, at most `allowance` bytes. Returns how many bytes were read: 0 at the end of
     /// the stream, none if nothing is available.
     fn try_read(&mut self, allowance: usize) -> Result<Option<usize>, SocketError> {
-        let framer = self.failure.is_none().then_some(&mut self.framer);
+        let framer = self.failure.is_none().then_some(&mut self.messages.framer);
         let mut capacity = 0;
         let read_once = |bytes: &mut [u8]| {
             capacity = allowance.min(bytes.len());
@@ -365,9 +334,8 @@
         };
         let read = self.read_buffer.read(read_once, framer)?;
         if let (Some(count @ 1..), None) = (read, self.failure) {
-            self.read_ahead.on_read(self.clock.now(), count, capacity);
+            self.messages.on_read(self.clock.now(), count, capacity);
             self.settings.on_read(count);
-            self.memory.resize(self.read_ahead.buffered_bytes());
         }
         Ok(read)
     }
@@ -380,9 +348,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Bytes accounted for a queued message. Includes the queue entry, since many small messages use more memory
-/// than their bytes.
-fn accounted_bytes(message: &Message) -> usize {
-    message.raw.len() + std::mem::size_of::<QueuedMessage>()
-}
--- a/src/client/request.rs
+++ b/src/client/request.rs
@@ -5,7 +5,7 @@
 use crate::client::session::ClientSession;
 use crate::facade::{Decision, RequestHandle};
 use crate::host::attempt::HostAnswer;
-use crate::sql::statement::Statement;
+use crate::host::forwarded_statement::ForwardedStatement;
 use crate::Time;
 use petrelgauge_lifecycle::ending::End;
 use petrelgauge_lifecycle::gateway::ServingState;
@@ -107,7 +107,7 @@
 /// An admitted request. Dropping it abandons the request, while an attempt in flight runs to completion.
 struct OpenRequest<'a> {
     context: &'a ClientContext,
-    statement: &'a Rc<Statement>,
+    statement: &'a Rc<ForwardedStatement>,
     handle: RequestHandle,
     /// The attempt in flight.
     attempt: Option<JoinHandle<Option<HostAnswer>>>,
--- a/src/client/request_parser.rs
+++ b/src/client/request_parser.rs
@@ -4,6 +4,7 @@
 use crate::client::client_event::Query;
 use crate::client::context::{ClientContext, ReservedRequestId};
 use crate::facade::{Request, SessionRef};
+use crate::host::forwarded_statement::ForwardedStatement;
 use crate::postgres::sqlstate;
 use crate::sql::statement::{Statement, StatementError};
 use crate::{Class, Effect, Need, Time};
@@ -58,7 +59,7 @@
 /// dropped.
 pub(super) struct ClientRequest {
     pub(super) request: Request,
-    pub(super) statement: Rc<Statement>,
+    pub(super) statement: Rc<ForwardedStatement>,
     /// The settings under which it was received.
     pub(super) received_under: ClassSetVersion,
     _id: ReservedRequestId,
@@ -104,6 +105,7 @@
             required_position: statement.after_ms.filter(|_| reads_session).map(microseconds),
             session,
         };
+        let statement = ForwardedStatement::new(statement, self.budget.reserve_client_memory());
         Ok(ClientRequest { request, statement: Rc::new(statement), received_under, _id: id })
     }
 
--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -7,6 +7,7 @@
 use crate::facade::{Attempt, Outcome};
 use crate::host::attempt_io::{AttemptIo, Progress};
 use crate::host::connection::HostConnection;
+use crate::host::forwarded_statement::ForwardedStatement;
 use crate::host::load_report::parse_outcome;
 use crate::host::pool::HostPool;
 use crate::host::streamed_row::StreamedRow;
@@ -55,7 +56,7 @@
     pub async fn attempt(
         self: Rc<Self>,
         mut attempt: Attempt,
-        statement: Rc<Statement>,
+        statement: Rc<ForwardedStatement>,
     ) -> Option<HostAnswer> {
         self.counters.attempts.add();
         let _in_flight = self.open_attempts.enter();
--- a/src/host/attempt_io.rs
+++ b/src/host/attempt_io.rs
@@ -138,7 +138,7 @@
 
     /// Accounts for the buffered bytes. Returns whether they are within the memory limit.
     fn reserve_memory(&mut self) -> bool {
-        let unparsed = self.connection.as_ref().map_or(0, |connection| connection.framer.len());
+        let unparsed = self.connection.as_ref().map_or(0, |connection| connection.framer.held_bytes());
         self.memory.resize(self.answer_bytes + unparsed)
     }
 }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -7,6 +7,7 @@
 //! | `descriptors` | closing idle clients and connections when descriptors run out |
 //! | [`attempt`] | one attempt, from acquiring a connection to reporting the outcome |
 //! | `attempt_io` | connecting, reading and writing for an attempt |
+//! | [`forwarded_statement`] | a statement and the memory that it holds |
 //! | [`streamed_row`] | a long row, streamed to its client in chunks |
 //! | `load_report` | what a host reports about itself with an answer |
 //!
@@ -24,6 +25,7 @@
 mod attempt_io;
 mod connection;
 mod descriptors;
+pub mod forwarded_statement;
 mod load_report;
 pub mod pool;
 pub mod streamed_row;
--- a/src/postgres/framer.rs
+++ b/src/postgres/framer.rs
@@ -3,7 +3,8 @@
 use crate::postgres::cancel::CancelKey;
 use crate::postgres::message::{Malformed, Message};
 use crate::postgres::message_type;
-use bytes::{Buf, Bytes, BytesMut};
+use crate::postgres::receive_buffer::ReceiveBuffer;
+use bytes::{Buf, Bytes};
 
 /// Longest message that is accepted, without its type (bytes). Values have at most 64 KiB, which take twice
 /// that as hexadecimal digits.
@@ -54,38 +55,45 @@
 /// has no limit of its own: the caller limits how much it feeds.
 #[derive(Debug, Default)]
 pub struct Framer {
-    buffer: BytesMut,
+    buffer: ReceiveBuffer,
 }
 
 impl Framer {
     /// Appends bytes that were read from the connection.
     pub fn feed(&mut self, bytes: &[u8]) {
-        self.buffer.extend_from_slice(bytes);
+        let expected = self.length_at(TYPE_BYTES).filter(|length| *length <= MAX_MESSAGE_BYTES);
+        self.buffer.append(bytes, expected.map(|length| TYPE_BYTES + length));
     }
 
     /// Number of buffered bytes.
     pub fn len(&self) -> usize {
-        self.buffer.len()
+        self.buffer.as_slice().len()
     }
 
     /// Whether no bytes are buffered.
     pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+        self.len() == 0
+    }
+
+    /// Size of the memory that holds the buffered bytes: at least as many, and at most twice as many and one
+    /// kibibyte.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.held_bytes()
     }
 
     /// Drops all buffered bytes.
     pub fn clear(&mut self) {
-        self.buffer = BytesMut::new();
+        self.buffer = ReceiveBuffer::default();
     }
 
     /// Type of the next message, if its first byte has been fed.
     pub fn kind(&self) -> Option<u8> {
-        self.buffer.first().copied()
+        self.buffer.as_slice().first().copied()
     }
 
     /// Whether the opening message is complete.
     pub fn has_opening(&self) -> bool {
-        self.length_at(0).is_some_and(|length| self.buffer.len() >= length)
+        self.length_at(0).is_some_and(|length| self.len() >= length)
     }
 
     /// Takes the opening message, if it is complete.
@@ -98,10 +106,10 @@
         if !(MIN_STARTUP_BYTES..=MAX_STARTUP_BYTES).contains(&length) {
             return Err(Malformed("invalid length of startup packet"));
         }
-        if self.buffer.len() < length {
+        if self.len() < length {
             return Ok(None);
         }
-        let mut packet = self.buffer.split_to(length);
+        let mut packet = self.buffer.take(length);
         packet.advance(LENGTH_BYTES);
         match (packet.get_u16(), packet.get_u16()) {
             (REQUEST_CODE, SSL_REQUEST | GSS_REQUEST) => Ok(Some(Opening::Encryption)),
@@ -128,12 +136,10 @@
         if !(LENGTH_BYTES..=MAX_MESSAGE_BYTES).contains(&length) {
             return Err(Malformed("invalid message length"));
         }
-        if self.buffer.len() < TYPE_BYTES + length {
+        if self.len() < TYPE_BYTES + length {
             return Ok(None);
         }
-        let raw = self.buffer.split_to(TYPE_BYTES + length).freeze();
-        self.free_empty_buffer();
-        Ok(Some(Message { raw }))
+        Ok(Some(Message { raw: self.buffer.take(TYPE_BYTES + length) }))
     }
 
     /// Size of the next message (bytes), if it is a DataRow with one column that is too long to be buffered.
@@ -141,7 +147,7 @@
         let lengths = MAX_BUFFERED_ROW_BYTES + 1..=MAX_ROW_BYTES;
         let length = self.length_at(TYPE_BYTES).filter(|length| lengths.contains(length))?;
         let columns_at = TYPE_BYTES + LENGTH_BYTES;
-        let has_one_column = self.buffer.get(columns_at..columns_at + 2) == Some(&[0, 1]);
+        let has_one_column = self.buffer.as_slice().get(columns_at..columns_at + 2) == Some(&[0, 1]);
         let fits = self.length_at(columns_at + 2).is_some_and(|value| value + ROW_HEADER_BYTES == length);
         let is_row = self.kind() == Some(message_type::DATA_ROW);
         (is_row && has_one_column && fits).then_some(TYPE_BYTES + length)
@@ -149,20 +155,11 @@
 
     /// Takes up to `max_bytes` bytes without splitting them into messages.
     pub fn take_raw(&mut self, max_bytes: usize) -> Bytes {
-        let taken = self.buffer.split_to(max_bytes.min(self.buffer.len())).freeze();
-        self.free_empty_buffer();
-        taken
-    }
-
-    /// Frees an empty buffer. Otherwise an idle connection would keep the memory of its longest message.
-    fn free_empty_buffer(&mut self) {
-        if self.buffer.is_empty() {
-            self.buffer = BytesMut::new();
-        }
+        self.buffer.take(max_bytes.min(self.len()))
     }
 
     fn length_at(&self, offset: usize) -> Option<usize> {
-        let bytes = self.buffer.get(offset..offset + LENGTH_BYTES)?;
+        let bytes = self.buffer.as_slice().get(offset..offset + LENGTH_BYTES)?;
         Some(u32::from_be_bytes(bytes.try_into().ok()?) as usize)
     }
 }
--- a/src/postgres/mod.rs
+++ b/src/postgres/mod.rs
@@ -8,6 +8,7 @@
 //! | [`message_type`] | the type bytes of messages |
 //! | [`message_writer`] | the `put_` functions, which append messages to a buffer |
 //! | [`answer_assembler`] | assembles a host's messages into an answer |
+//! | `receive_buffer` | the bytes of one connection that are not taken yet |
 //! | [`read_buffer`] | the read buffer that all connections share |
 //! | [`cancel`] | the key of a cancel request |
 //! | [`sqlstate`] | SQLSTATE codes of the gateway's own errors |
@@ -25,6 +26,7 @@
 pub mod message_type;
 pub mod message_writer;
 pub mod read_buffer;
+mod receive_buffer;
 pub mod sqlstate;
 
 pub use crate::postgres::answer_assembler::{Answer, AnswerAssembler, Reply};
--- a/src/sql/statement.rs
+++ b/src/sql/statement.rs
@@ -85,6 +85,13 @@
         })
     }
 
+    /// Bytes of memory that the statement holds: its text and the fields that were copied out of it.
+    pub fn held_bytes(&self) -> usize {
+        let optional = [&self.session, &self.session_tokens].into_iter().flatten().map(String::len);
+        let copied = self.name.len() + self.id.len() + self.class.len() + optional.sum::<usize>();
+        size_of::<Statement>() + self.text.len() + copied
+    }
+
     /// Builds the Query message for a host: the client's statement with its wait replaced.
     pub fn query(&self, wait_ms: u64) -> impl Buf {
         let before = self.text.slice(..self.wait_digits.start);
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -12,6 +12,9 @@
 const SELECT_STATEMENT: &str =
     "SELECT content FROM kv WHERE name = 'it''s /* d=1 */' /* id=9b1f,c=view,d=480,cluster=2 */";
 
+/// Bytes that a buffer may hold unused, beside as many as it uses.
+const MAX_SPARE_BYTES: usize = 1024;
+
 fn check<S: Strategy>(inputs: S, test: impl Fn(S::Value) -> Result<(), TestCaseError>) {
     let config = Config { cases: 200, failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
@@ -75,6 +78,34 @@
     out
 }
 
+// Review case 6: a message kept the buffer that it was cut from, and the budget counted its bytes only.
+#[test]
+fn messages_and_buffers_hold_no_more_than_they_report() {
+    check(vec((0..3_000usize, 1..2_000usize), 1..40), |sizes| {
+        let (mut framer, mut stream) = (Framer::default(), Vec::new());
+        for (body, _) in &sizes {
+            postgres::put(&mut stream, b'd', |out| out.resize(out.len() + body, b'x'));
+        }
+        let mut unread = &stream[..];
+        for (_, read) in sizes.iter().cycle() {
+            let (piece, rest) = unread.split_at((*read).min(unread.len()));
+            unread = rest;
+            framer.feed(piece);
+            while let Some(message) = framer.message().expect("the messages are valid") {
+                let length = message.raw.len();
+                let buffer = message.raw.try_into_mut().expect("nothing else shares the message's memory");
+                prop_assert_eq!(buffer.capacity(), length);
+            }
+            prop_assert!(framer.held_bytes() <= 2 * framer.len() + MAX_SPARE_BYTES);
+            if unread.is_empty() {
+                break;
+            }
+        }
+        prop_assert_eq!(framer.held_bytes(), 0);
+        Ok(())
+    });
+}
+
 #[test]
 fn messages_are_parsed_however_they_are_fragmented() {
     check_parser(&answers(), |fragments| read_frames(fragments, Framer::message));
