Close clients that stopped within a message before those that were served

Cause: a client that stops within a message after an answer counted as served; if no silent client was 0.1 s old the loop went on with served ones, though the silent ones were the excess; and idle served ones were closed where open requests held the excess. Change: such a client is 'Stalled' since its last byte and goes before served ones. The two crowds of tests are one program now.

--- a/crates/lifecycle/src/client.rs
+++ b/crates/lifecycle/src/client.rs
@@ -47,6 +47,8 @@
     CutOff,
     /// It has sent no query yet.
     New,
+    /// All its queries have been answered, and it has sent a part of the next message.
+    Stalled,
     /// All its queries have been answered.
     Answered,
 }
@@ -136,6 +138,8 @@
     StartupReceived,
     /// A complete message was received.
     Message(MessageKind),
+    /// A part of a message was received.
+    PartialReceived,
     /// The open query was answered.
     Answered(QueryOutcome),
     /// The pause after an unusable statement has ended.
@@ -243,6 +247,15 @@
         self.idle
     }
 
+    /// Like [`ClientConnection::idle_since`], for a client that may have sent a part of a message, the last
+    /// bytes of it at `partial_at`.
+    pub fn idle_since_with(&self, partial_at: Option<Time>) -> IdleSince {
+        match (self.idle.kind, partial_at) {
+            (Idleness::Answered, Some(since)) => IdleSince { kind: Idleness::Stalled, since },
+            _ => self.idle,
+        }
+    }
+
     /// Clock time at which [`Event::Timeout`] is due while no query is open.
     pub fn timeout_at(&self) -> Time {
         match self.state {
--- a/crates/lifecycle/src/gateway.rs
+++ b/crates/lifecycle/src/gateway.rs
@@ -158,7 +158,7 @@
     /// The deadline for a client with this idleness.
     pub fn of(self, kind: Idleness) -> Time {
         match kind {
-            Idleness::Answered => self.answered,
+            Idleness::Answered | Idleness::Stalled => self.answered,
             Idleness::New | Idleness::CutOff => self.new,
         }
     }
--- a/crates/lifecycle/src/read_ahead.rs
+++ b/crates/lifecycle/src/read_ahead.rs
@@ -57,6 +57,11 @@
         self.queued == 0 && !self.is_handling
     }
 
+    /// Whether the message that was dequeued last has not been handled.
+    pub fn is_handling(&self) -> bool {
+        self.is_handling
+    }
+
     /// Number of bytes of the messages that are queued or being handled. Unparsed bytes are not among them:
     /// the buffer that holds them may be larger than they are.
     pub fn message_bytes(&self) -> usize {
--- a/crates/lifecycle/tests/client.rs
+++ b/crates/lifecycle/tests/client.rs
@@ -1,7 +1,8 @@
 //! When a client without an open query is closed, and when a client with an incomplete message is cut off.
 
 use petrelgauge_lifecycle::client::{
-    Action, ClientConnection, CutOffReason, Event, MessageKind, QueryOutcome, MESSAGE_TIMEOUT,
+    Action, ClientConnection, CutOffReason, Event, IdleSince, Idleness, MessageKind, QueryOutcome,
+    MESSAGE_TIMEOUT,
 };
 use petrelgauge_policy::Time;
 
@@ -30,6 +31,22 @@
     panic!("the client is never cut off");
 }
 
+// Issue 59: it counted as served, and other clients were closed in its place.
+#[test]
+fn a_client_that_stops_within_a_message_counts_as_stalled_since_its_last_byte() {
+    let stalled = IdleSince { kind: Idleness::Stalled, since: 7 };
+    assert_eq!(served(5).idle_since_with(Some(7)), stalled);
+    assert_eq!(served(5).idle_since_with(None), IdleSince { kind: Idleness::Answered, since: 5 });
+    // A new client has to complete its first message, however slowly it writes.
+    let new = IdleSince { kind: Idleness::New, since: 5 };
+    assert_eq!(ClientConnection::new(5).idle_since_with(Some(7)), new);
+    assert!(Idleness::Stalled < Idleness::Answered, "it is closed first");
+    // The part itself is no use of the connection.
+    let mut client = served(5);
+    assert_eq!(client.on(9, Event::PartialReceived), Action::Wait);
+    assert_eq!(client.idle_since().since, 5);
+}
+
 #[test]
 fn a_client_that_stalls_within_a_message_is_cut_off_within_three_seconds_of_its_last_byte() {
     for begun_at in [1, SECOND / 2, SECOND, 2 * SECOND] {
--- a/crates/lifecycle/tests/read_ahead.rs
+++ b/crates/lifecycle/tests/read_ahead.rs
@@ -33,6 +33,17 @@
     assert_eq!(ahead.message_bytes(), MAX_BYTES / 2);
 }
 
+// A connection whose request is open frees memory by itself, whoever accounts for its statement.
+#[test]
+fn a_message_that_was_handed_over_is_still_being_handled() {
+    let mut ahead = queued(1, 100, 1_000);
+    ahead.on_dequeued(100);
+    ahead.on_handed_over();
+    assert_eq!((ahead.message_bytes(), ahead.is_handling(), ahead.has_no_message()), (0, true, false));
+    ahead.on_handled();
+    assert!(ahead.has_no_message());
+}
+
 #[test]
 fn bytes_read_without_a_pause_arrived_now() {
     let mut ahead = queued(1, 100, 1_000);
--- a/src/client/message_queue.rs
+++ b/src/client/message_queue.rs
@@ -85,10 +85,13 @@
         Some(queued)
     }
 
-    /// Records that the message that was taken last has been handled.
+    /// Records that the message that was taken last, if there is one, has been handled. The memory reserve is
+    /// kept while the next message is incomplete.
     pub(super) fn on_handled(&mut self) {
-        self.read_ahead.on_handled();
-        self.memory.release_reserve();
+        if self.read_ahead.is_handling() {
+            self.read_ahead.on_handled();
+            self.memory.release_reserve();
+        }
     }
 
     /// Stops accounting for the message that was taken last, which its request accounts for from now on.
--- a/src/client/reader.rs
+++ b/src/client/reader.rs
@@ -198,7 +198,8 @@
     }
 
     async fn next_message(&mut self) -> Result<ClientEvent, ReadError> {
-        let QueuedMessage { message, arrived_at, settings } = self.read_message().await?;
+        let Some(queued) = self.read_message().await? else { return Ok(Event::PartialReceived.into()) };
+        let QueuedMessage { message, arrived_at, settings } = queued;
         let kind = MessageKind::of(message.kind());
         let payload = match kind {
             MessageKind::Query => Payload::Query(Query { text: message.text()?, arrived_at, settings }),
@@ -207,18 +208,23 @@
         Ok(ClientEvent::new(Event::Message(kind), payload))
     }
 
-    async fn read_message(&mut self) -> Result<QueuedMessage, ReadError> {
+    /// Reads the next message. None if a part of it was received.
+    async fn read_message(&mut self) -> Result<Option<QueuedMessage>, ReadError> {
         self.messages.on_handled();
-        loop {
-            self.parse_messages();
-            // Complete messages before a protocol error are answered first.
-            if let Some(queued) = self.messages.pop() {
-                return Ok(queued);
-            }
-            if let Some(failure) = self.failure {
-                return Err(ReadError::Protocol(failure.error));
-            }
-            self.read().await?;
+        if let Some(queued) = self.take_message()? {
+            return Ok(Some(queued));
+        }
+        self.read().await?;
+        self.take_message()
+    }
+
+    /// Takes the next message that was received. Complete messages before a protocol error come first.
+    fn take_message(&mut self) -> Result<Option<QueuedMessage>, ReadError> {
+        self.parse_messages();
+        match (self.messages.pop(), self.failure) {
+            (Some(queued), _) => Ok(Some(queued)),
+            (None, Some(failure)) => Err(ReadError::Protocol(failure.error)),
+            (None, None) => Ok(None),
         }
     }
 
--- a/src/client/session.rs
+++ b/src/client/session.rs
@@ -140,7 +140,8 @@
         }
         let (context, shed) = (self.context.clone(), self.shed.clone());
         let IdleSince { kind, since } = connection.idle_since();
-        let _idle = context.budget.register_idle(kind, since, &shed);
+        let idle = connection.idle_since_with(self.reader.partial_at());
+        let _idle = context.budget.register_idle(idle.kind, idle.since, &shed);
         let grace_period = if kind == Idleness::New { FIRST_QUERY_GRACE_PERIOD } else { 0 };
         let no_close_before = self.no_close_before.max(since + grace_period);
         let close_requested = close_requested(&context, self.serving_state.clone(), no_close_before);
--- a/src/resources/budget/idle_clients.rs
+++ b/src/resources/budget/idle_clients.rs
@@ -11,6 +11,8 @@
 #[derive(Default)]
 pub(super) struct IdleClients {
     clients: RefCell<BTreeMap<IdleKey, IdleClient>>,
+    /// Number of clients of each idleness.
+    counts: RefCell<BTreeMap<Idleness, usize>>,
     next_number: Cell<u64>,
 }
 
@@ -37,18 +39,33 @@
         let number = idle_clients.next_number.get();
         idle_clients.next_number.set(number + 1);
         let key = IdleKey { idleness, number };
+        *idle_clients.counts.borrow_mut().entry(idleness).or_default() += 1;
         idle_clients.clients.borrow_mut().insert(key, IdleClient { idle_since, close: close.clone() });
         IdleGuard { idle_clients: idle_clients.clone(), key }
     }
 
+    /// Number of clients with this idleness.
+    pub(super) fn count(&self, idleness: Idleness) -> usize {
+        self.counts.borrow().get(&idleness).copied().unwrap_or(0)
+    }
+
+    fn remove(&self, key: IdleKey) -> Option<IdleClient> {
+        let removed = self.clients.borrow_mut().remove(&key)?;
+        if let Some(count) = self.counts.borrow_mut().get_mut(&key.idleness) {
+            *count -= 1;
+        }
+        Some(removed)
+    }
+
     /// Asks the client that registered first with this idleness to close, unless it became idle after
     /// `idle_before`. Returns whether there is one.
     pub(super) fn shed(&self, idleness: Idleness, idle_before: Time) -> bool {
-        let mut clients = self.clients.borrow_mut();
+        let clients = self.clients.borrow();
         let keys = IdleKey { idleness, number: 0 }..=IdleKey { idleness, number: u64::MAX };
         let first = clients.range(keys).next().filter(|(_, client)| client.idle_since <= idle_before);
         let Some(key) = first.map(|(key, _)| *key) else { return false };
-        clients.remove(&key).map(|client| client.close.notify_one()).is_some()
+        drop(clients);
+        self.remove(key).map(|client| client.close.notify_one()).is_some()
     }
 }
 
@@ -60,6 +77,6 @@
 
 impl Drop for IdleGuard {
     fn drop(&mut self) {
-        self.idle_clients.clients.borrow_mut().remove(&self.key);
+        self.idle_clients.remove(self.key);
     }
 }
--- a/src/resources/budget/mod.rs
+++ b/src/resources/budget/mod.rs
@@ -32,6 +32,8 @@
 /// Clients that use more than one CLIENT_DIVISOR-th of the descriptors are in excess. Clients with open
 /// requests use up to a third; the difference is left for new clients.
 const CLIENT_DIVISOR: usize = 4;
+/// One ANSWERED_SHARE_DIVISOR-th of the clients' share is left to clients that have been answered.
+const ANSWERED_SHARE_DIVISOR: usize = 2;
 /// One MESSAGE_MEMORY_DIVISOR-th of the memory is for messages. The rest is for the program and its state.
 const MESSAGE_MEMORY_DIVISOR: usize = 4;
 
@@ -98,7 +100,23 @@
 
     /// Number of clients in excess of their share of the descriptors.
     pub fn excess_clients(&self) -> usize {
-        self.connections.client_count().saturating_sub(self.max_descriptors.get() / CLIENT_DIVISOR)
+        self.connections.client_count().saturating_sub(self.client_share())
+    }
+
+    /// Number of answered clients to close early while clients are in excess of their share. Clients that are
+    /// closed soon on their own don't count for it, and half of the share is left to answered ones: closing
+    /// those would free little where open requests hold the rest.
+    pub fn excess_answered_clients(&self) -> usize {
+        let closed_soon = [Idleness::CutOff, Idleness::New, Idleness::Stalled];
+        let closed_soon: usize = closed_soon.into_iter().map(|kind| self.idle_clients.count(kind)).sum();
+        let answered = self.idle_clients.count(Idleness::Answered);
+        let kept = self.client_share() / ANSWERED_SHARE_DIVISOR;
+        self.excess_clients().saturating_sub(closed_soon).min(answered.saturating_sub(kept))
+    }
+
+    /// Number of descriptors that clients may hold without being in excess.
+    fn client_share(&self) -> usize {
+        self.max_descriptors.get() / CLIENT_DIVISOR
     }
 
     /// Registers a client that can be closed and has been idle since `idle_since`, until the guard is
--- /dev/null
+++ b/tests/crowds/main.rs
@@ -0,0 +1,11 @@
+//! Crowds of clients at one gateway process, at the limits of the deployment pages.
+//!
+//! | file | subject |
+//! | --- | --- |
+//! | `stage.rs` | a gateway, its host, the usual clients beside a crowd, and what is recorded of them |
+//! | `memory_limit.rs` | the private memory of the process |
+//! | `other_clients.rs` | what the other clients get |
+
+mod memory_limit;
+mod other_clients;
+mod stage;
--- a/tests/memory_limit.rs
+++ b/tests/crowds/memory_limit.rs
@@ -1,9 +1,7 @@
 //! The private memory of a process at the smallest limits of the deployment pages (32 MiB, 1,024 descriptors),
 //! while crowds of clients and hosts make it hold as much as they can. Over its limit a gateway is killed.
 
-mod crowd;
-
-use crowd::{read, write, HostAnswer, Stage, CROWD};
+use crate::stage::{read, write, AnswerChoice, HostAnswer, Stage, CROWD};
 use petrelgauge::postgres::MAX_MESSAGE_BYTES;
 use petrelgauge_test_support::{block_on, gateway_program, message, query, startup, Harness, Reply};
 use std::future::Future;
@@ -32,7 +30,7 @@
 }
 
 /// Runs a crowd beside usual clients and checks the memory of the process.
-fn check<F>(form: &str, choose: crowd::AnswerChoice, client: impl Fn(SocketAddr, usize) -> F)
+fn check<F>(form: &str, choose: AnswerChoice, client: impl Fn(SocketAddr, usize) -> F)
 where
     F: Future<Output = ()> + 'static,
 {
@@ -42,6 +40,7 @@
         sleep(WATCHED).await;
         stage.check_memory(form);
         assert!(stage.usual.served.get() > 0, "{form}: no usual client was served");
+        assert_eq!(stage.usual.closed_under_request.get(), 0, "{form}: {}", stage.usual);
         std::io::Result::Ok(())
     })
     .expect("the crowd runs");
--- a/tests/crowd/mod.rs
+++ b/tests/crowds/stage.rs
@@ -1,5 +1,5 @@
-//! Crowds of clients at one gateway process: an emulated host, usual clients whose answers are recorded, and
-//! the highest private memory of the process.
+//! A gateway process with an emulated host, usual clients whose answers are recorded, and the highest private
+//! memory of the process.
 
 use petrelgauge_test_support::{
     field, gateway_program, message, ready_for_query, row, Connection, Gateway, Harness, HostConnection,
@@ -9,6 +9,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
@@ -29,6 +30,8 @@
 /// How long a usual client waits for an answer, and by when it must have one at the latest.
 const USUAL_WAIT: Duration = Duration::from_millis(1_200);
 const LATEST_ANSWER: Duration = Duration::from_millis(500);
+/// Stages that run at once: each keeps some cores busy.
+const MAX_STAGES: usize = 3;
 const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(10);
 const BYTES_PER_MIB: usize = 1024 * 1024;
 
@@ -47,6 +50,31 @@
 /// Chooses what a host does with a query.
 pub type AnswerChoice = fn(&str) -> HostAnswer;
 
+/// Number of stages that run now.
+static STAGES: Mutex<usize> = Mutex::new(0);
+/// Notified when a stage has ended.
+static STAGE_ENDED: Condvar = Condvar::new();
+
+/// One of the [`MAX_STAGES`] places, free again when it is dropped.
+struct Place;
+
+impl Place {
+    fn wait() -> Place {
+        let is_full = |stages: &mut usize| *stages >= MAX_STAGES;
+        let stages = STAGES.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut stages = STAGE_ENDED.wait_while(stages, is_full).unwrap_or_else(PoisonError::into_inner);
+        *stages += 1;
+        Place
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *STAGES.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        STAGE_ENDED.notify_one();
+    }
+}
+
 /// A gateway at the smallest limits, its host and its clients.
 pub struct Stage {
     pub gateway: Rc<Gateway>,
@@ -56,6 +84,7 @@
     pub received: Rc<RefCell<Vec<String>>>,
     peak_memory: Rc<Cell<usize>>,
     tasks: Vec<JoinHandle<()>>,
+    _place: Place,
 }
 
 /// What the usual clients have seen.
@@ -97,6 +126,7 @@
         choose: AnswerChoice,
         pauses: &'static [Duration],
     ) -> Stage {
+        let place = Place::wait();
         let harness = Harness::new(gateway_program!()).sockets(descriptors).memory_mb(MEMORY_MB);
         let listener = harness.network().tcp_listener(1);
         listener.set_nonblocking(true).expect("set a socket option");
@@ -105,7 +135,8 @@
         let gateway = Rc::new(harness.list_primary_at(host).start());
         let address = gateway.address().parse().expect("valid socket address");
         let (usual, received, peak_memory) = (Rc::default(), Rc::default(), Rc::default());
-        let mut stage = Stage { gateway, address, usual, received, peak_memory, tasks: Vec::new() };
+        let mut stage =
+            Stage { gateway, address, usual, received, peak_memory, tasks: Vec::new(), _place: place };
         stage.spawn(serve_host(listener, choose, stage.received.clone()));
         stage.spawn(watch_memory(stage.gateway.clone(), stage.peak_memory.clone()));
         for number in 0..USUAL_CLIENTS {
@@ -146,6 +177,13 @@
         println!("{form}: private memory {} KiB at most; usual clients: {}", peak / 1024, self.usual);
         assert!(peak <= MEMORY_MB * BYTES_PER_MIB, "{form}: {peak} bytes of private memory");
     }
+
+    /// Checks that the usual clients got final answers in time, and kept their connections.
+    pub fn check_usual_clients(&self, form: &str) {
+        assert!(self.usual.served.get() > 0, "{form}: no usual client was served");
+        assert_eq!(self.usual.unanswered.get(), 0, "{form}: {}", self.usual);
+        assert_eq!(self.usual.closed_under_request.get(), 0, "{form}: {}", self.usual);
+    }
 }
 
 impl Drop for Stage {
