Reject an id that comes again after its client left, while or after it may have run

Cause: the id was reserved by the client's session and free when that ended, while the attempt went on as a task of its own, or had run. Ruled out: attempts of the first client that begin late; no id of 331 clients that closed with requests unread reached the host later than 150 ms after its close. Change: the id belongs to the forwarded statement, which lives until the request and its attempts have ended.

--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `client.rs` | a client's connection | opening, idle, awaiting an answer, pausing, cut off, ended |
 //! | `request.rs` | a client's request in its session | waiting, attempt in flight, ended |
 //! | `exchange.rs` | an attempt on a connection | connecting, greeting, writing, waiting, answering, ended |
+//! | `request_ids.rs` | the ids that clients chose for their requests | open, used |
 //! | `class_table.rs` | the request classes, when settings change while requests are open | |
 //! | `idle_connection.rs` | a connection to a host between two requests | idle, in use, ended |
 //! | `connect_timeout.rs` | the timeout for establishing a connection | |
@@ -27,7 +28,7 @@
 //! never reported as one that did not.
 //!
 //! **Bounds.** The request table holds the requests that clients may have open and an entry for each attempt
-//! until its report. The other machines are of fixed size.
+//! until its report; the ids of requests have a bound of their own. The other machines are of fixed size.
 //!
 //! ```
 //! use petrelgauge_lifecycle::exchange::{ConnectionDisposition, Event, Exchange};
@@ -55,6 +56,7 @@
 pub mod read_ahead;
 pub mod received_settings;
 pub mod request;
+pub mod request_ids;
 pub mod request_table;
 pub mod verdict;
 pub mod watch;
--- a/src/client/context.rs
+++ b/src/client/context.rs
@@ -9,12 +9,12 @@
 use crate::postgres::read_buffer::ReadBuffer;
 use crate::resources::budget::Budget;
 use crate::resources::counters::{Counters, Gauge};
+use crate::resources::request_ids::RequestIdRegistry;
 use crate::sql::set_statement;
 use crate::Time;
 use petrelgauge_lifecycle::gateway::{ReadDeadlines, ServingState};
 use petrelgauge_sessions::SessionKey;
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::watch;
 
@@ -38,8 +38,8 @@
     pub open_sessions: Gauge,
     /// The keys by which clients cancel their open queries.
     pub cancel_registry: Rc<CancelRegistry>,
-    /// The ids that clients chose for their open requests; at most one per session.
-    pub open_request_ids: RefCell<BTreeSet<Rc<str>>>,
+    /// The ids that clients chose for their requests.
+    pub request_ids: Rc<RequestIdRegistry>,
     /// Clock time until which a stopping gateway answers requests; [`Time::MAX`] until it stops.
     pub final_answer_deadline: Cell<Time>,
     /// Clock times until which a stopping gateway reads from its clients.
@@ -54,24 +54,4 @@
             postgres::put_parameter_status(out, set_statement::TOKEN_SETTING, &token);
         }
     }
-
-    /// Reserves the id of a request until the returned value is dropped. None if another open request has the
-    /// same id.
-    pub(super) fn reserve_request_id(self: &Rc<Self>, id: &str) -> Option<ReservedRequestId> {
-        let id: Rc<str> = id.into();
-        let is_new = self.open_request_ids.borrow_mut().insert(id.clone());
-        is_new.then(|| ReservedRequestId { context: self.clone(), id })
-    }
-}
-
-/// The id of an open request. Dropping it releases the id.
-pub(super) struct ReservedRequestId {
-    context: Rc<ClientContext>,
-    id: Rc<str>,
-}
-
-impl Drop for ReservedRequestId {
-    fn drop(&mut self) {
-        self.context.open_request_ids.borrow_mut().remove(&self.id);
-    }
 }
--- a/src/client/request_parser.rs
+++ b/src/client/request_parser.rs
@@ -2,13 +2,14 @@
 //! and sessions.
 
 use crate::client::client_event::Query;
-use crate::client::context::{ClientContext, ReservedRequestId};
+use crate::client::context::ClientContext;
 use crate::facade::{Request, SessionRef};
 use crate::host::forwarded_statement::ForwardedStatement;
 use crate::postgres::sqlstate;
 use crate::sql::statement::{Statement, StatementError};
 use crate::{Class, Effect, Need, Time};
 use petrelgauge_lifecycle::class_table::{ClassSetVersion, IdempotencyKey};
+use petrelgauge_lifecycle::request_ids::{IdConflict, Repetition};
 use petrelgauge_lifecycle::request_table::ClassLookup;
 use petrelgauge_sessions::{SessionKey, SessionTokens, TokenError};
 use std::rc::Rc;
@@ -38,6 +39,17 @@
     UnknownGroup,
     #[error("another open request has this id")]
     DuplicateId,
+    #[error("a request with this id may have run")]
+    UsedId,
+}
+
+impl From<IdConflict> for UnusableStatement {
+    fn from(conflict: IdConflict) -> UnusableStatement {
+        match conflict {
+            IdConflict::Open => UnusableStatement::DuplicateId,
+            IdConflict::Used => UnusableStatement::UsedId,
+        }
+    }
 }
 
 impl UnusableStatement {
@@ -50,19 +62,18 @@
             | UnusableStatement::MissingIdempotencyKey
             | UnusableStatement::WaitTooLong
             | UnusableStatement::UnknownGroup
-            | UnusableStatement::DuplicateId => sqlstate::INVALID_PARAMETER_VALUE,
+            | UnusableStatement::DuplicateId
+            | UnusableStatement::UsedId => sqlstate::INVALID_PARAMETER_VALUE,
         }
     }
 }
 
-/// A request that can be admitted, with the statement that is sent to a host. Its id is reserved until it is
-/// dropped.
+/// A request that can be admitted, with the statement that is sent to a host.
 pub(super) struct ClientRequest {
     pub(super) request: Request,
     pub(super) statement: Rc<ForwardedStatement>,
     /// The settings under which it was received.
     pub(super) received_under: ClassSetVersion,
-    _id: ReservedRequestId,
 }
 
 impl ClientRequest {
@@ -94,7 +105,9 @@
         let wait = microseconds(statement.wait_ms);
         self.check(&statement, &class, wait, query)?;
         let session = self.session_ref(class_index, &statement, arrived_at, connection_tokens)?;
-        let id = self.reserve_request_id(&statement.id).ok_or(UnusableStatement::DuplicateId)?;
+        let repetition =
+            if class.effect == Effect::Safe { Repetition::Harmless } else { Repetition::Forbidden };
+        let id = self.request_ids.reserve(self.clock.now(), &statement.id, repetition)?;
         let reads_session = class.need == Need::Session;
         let request = Request {
             class: class_index,
@@ -105,8 +118,8 @@
             required_position: statement.after_ms.filter(|_| reads_session).map(microseconds),
             session,
         };
-        let statement = ForwardedStatement::new(statement, self.budget.reserve_client_memory());
-        Ok(ClientRequest { request, statement: Rc::new(statement), received_under, _id: id })
+        let statement = ForwardedStatement::new(statement, id, self.budget.reserve_client_memory());
+        Ok(ClientRequest { request, statement: Rc::new(statement), received_under })
     }
 
     /// Validates a statement against its class and the groups that are served.
--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -127,7 +127,7 @@
         self: &Rc<Self>,
         run: AttemptRun,
         attempt: Attempt,
-        statement: &Statement,
+        statement: &ForwardedStatement,
     ) -> Option<HostAnswer> {
         let ended_at = self.clock.now();
         let AttemptRun { mut exchange, io, started_at, written_at, is_connection_reused } = run;
@@ -139,6 +139,9 @@
         let FinishedAttempt { end, disposition } = exchange.finish(has_unread)?;
         let streamed = self.release(attempt.host(), connection, assembler, disposition);
         self.count_end(attempt.host(), end);
+        if written_at.is_some() && !end.to_router_ending().never_ran() {
+            statement.record_use(ended_at);
+        }
         log::debug!(
             "attempt ended request={} host={} class={} group={} end={end:?} took_us={} written_us={} reused={is_connection_reused}",
             statement.id,
--- a/src/process/startup.rs
+++ b/src/process/startup.rs
@@ -22,7 +22,7 @@
 use petrelgauge_handover::Reservation;
 use petrelgauge_lifecycle::gateway::{Gateway, ListenerSharing, ServingState};
 use petrelgauge_lifecycle::ops::MAX_CALLERS;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener as StdTcpListener};
 use std::rc::Rc;
@@ -189,7 +189,7 @@
             serving_state,
             open_sessions: Gauge::default(),
             cancel_registry: CancelRegistry::new(config.seed.rotate_left(16)),
-            open_request_ids: RefCell::default(),
+            request_ids: Rc::default(),
             final_answer_deadline: Cell::new(Time::MAX),
             final_read_deadlines: Cell::default(),
         }
--- a/src/resources/mod.rs
+++ b/src/resources/mod.rs
@@ -3,6 +3,7 @@
 //! | folder or file | job |
 //! | --- | --- |
 //! | `budget` | shares descriptors and message memory among the connections of clients and hosts |
+//! | `request_ids` | the ids that clients chose for their requests |
 //! | `counters` | the counters reported to operators |
 //!
 //! Owns the number of open connections, the bytes reserved for them, and the list of clients that can be
@@ -12,3 +13,4 @@
 
 pub mod budget;
 pub mod counters;
+pub mod request_ids;
