Limit the sessions that are kept exactly to an eighth of the memory limit

Change: at most an eighth of the limit; the others share the summary, which is never too low. A log line says when fewer are kept than configured.

--- a/crates/sessions/src/settings.rs
+++ b/crates/sessions/src/settings.rs
@@ -11,6 +11,9 @@
 /// Maximum number of sessions whose watermarks are stored exactly.
 pub const MAX_EXACT_SESSIONS: usize = 16 * 1024 * 1024;
 
+/// Memory of an exact session, with its share of the index (bytes).
+pub const BYTES_PER_EXACT_SESSION: usize = 160;
+
 const MAX_SKETCH_WIDTH: usize = 1 << 24;
 /// Valid position granularities (microseconds).
 const POSITION_GRANULARITIES: RangeInclusive<Time> = 1..=10_000;
@@ -106,6 +109,15 @@
     }
 }
 
+impl Settings {
+    /// The same settings with at most as many exact sessions as fit into `bytes` of memory, but at least one.
+    #[must_use]
+    pub fn within_memory(self, bytes: usize) -> Settings {
+        let most = (bytes / BYTES_PER_EXACT_SESSION).max(1);
+        Settings { exact_sessions: self.exact_sessions.min(most), ..self }
+    }
+}
+
 /// Reason why settings are invalid. The texts are shown with the line of the operator's file.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum SettingsError {
--- a/src/control/session_tracking.rs
+++ b/src/control/session_tracking.rs
@@ -8,6 +8,9 @@
 use petrelgauge_sessions::{SessionTracker, Settings};
 use std::net::SocketAddr;
 
+/// One SESSION_MEMORY_DIVISOR-th of the memory limit is for the exact watermarks of sessions.
+const SESSION_MEMORY_DIVISOR: usize = 8;
+
 /// Session tracking and the address for its broadcasts.
 #[derive(Default)]
 pub(super) struct SessionSetup {
@@ -48,7 +51,7 @@
         settings.instances = config.peers.len().min(u16::MAX.into()) as u16;
         broadcast_address = Some(address);
     }
-    let tracker = SessionTracker::new(settings, now)?;
+    let tracker = SessionTracker::new(within_memory(config, settings), now)?;
     Ok(SessionSetup { tracking: Some(SessionTracking { tracker, classes }), broadcast_address })
 }
 
@@ -61,10 +64,21 @@
         hosts_enforce_positions: config.deployment.hosts_enforce_positions(),
         ..Settings::default()
     };
-    let tracker = SessionTracker::new(settings, 0)?;
+    let tracker = SessionTracker::new(within_memory(config, settings), 0)?;
     Ok(SessionSetup { tracking: Some(SessionTracking { tracker, classes }), broadcast_address: None })
 }
 
+/// Limits the sessions that are kept exactly to their share of the process's memory. The others share the
+/// sketch, which is never too low.
+fn within_memory(config: &Config, settings: Settings) -> Settings {
+    let configured = settings.exact_sessions;
+    let limited = settings.within_memory(config.max_memory / SESSION_MEMORY_DIVISOR);
+    if limited.exact_sessions < configured {
+        log::info!("exact sessions limited configured={configured} used={}", limited.exact_sessions);
+    }
+    limited
+}
+
 /// Returns the indices of the classes with sessions: those that the operator's record names, or else the
 /// write and session-read classes of a deployment that tracks sessions.
 pub(super) fn session_class_indices(
