--- a/tests/faulty_fleet/gateways.rs
+++ b/tests/faulty_fleet/gateways.rs
@@ -55,6 +55,8 @@
     settings: RefCell<Vec<(Time, Variant)>>,
     /// Number of processes that exited without being stopped or killed.
     pub crashes: Cell<usize>,
+    /// Highest private memory of its processes (bytes).
+    pub peak_memory: Cell<usize>,
     /// Whether its process was started, and not stopped or killed since.
     is_expected_to_run: Cell<bool>,
     /// Whether a fault is replacing its process; other faults may not replace it until that ends.
@@ -78,10 +80,12 @@
         let process = GatewayProcess::new(program.path.into(), ip, files.clone());
         let config = format!(
             "{{\"name\":\"n{number}\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"{:x}\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":512}},\"known\":{},\"settings\":{}}}",
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"known\":{},\"settings\":{}}}",
             process.listen,
             list.service.address,
             plan.seed << 16 | number as u64,
+            plan.memory_mb,
+            plan.descriptors,
             list.service.complete_list(),
             SETTINGS_MARK,
         );
@@ -95,6 +99,7 @@
             files,
             process_events: RefCell::default(),
             crashes: Cell::new(0),
+            peak_memory: Cell::new(0),
             is_expected_to_run: Cell::new(false),
             is_being_replaced: Cell::new(false),
         };
--- a/tests/faulty_fleet/invariants.rs
+++ b/tests/faulty_fleet/invariants.rs
@@ -2,6 +2,7 @@
 
 use super::classes::{self, CLASSES, KEY_WINDOW, ORDER};
 use super::clients::{Outcome, Record};
+use super::crowds::CROWD_ID_PREFIX;
 use super::gateways::ProcessEnd;
 use super::hosts::{Arrival, Host};
 use super::list::PUSH_SLACK;
@@ -21,6 +22,8 @@
 /// A request that is sent later than this after SIGTERM must be answered before SIGKILL (microseconds).
 const ANSWERED_BEFORE_KILL: Time = 700_000;
 
+const BYTES_PER_MIB: usize = 1024 * 1024;
+
 /// A budget below this many requests counts as small.
 const SMALL_BUDGET: f64 = 30.0;
 
@@ -89,6 +92,8 @@
     check_requests(fleet, &mut violations);
     check_attempts(fleet, &mut violations);
     check_orders(fleet, &mut violations);
+    check_crowds(fleet, &mut violations);
+    check_memory(fleet, &mut violations);
     for gateway in &fleet.gateways {
         gateway.check_crash();
         if gateway.crashes.get() > 0 || gateway.process.log().contains("panicked") {
@@ -135,6 +140,7 @@
     let mut attempts_by_id: BTreeMap<String, usize> = BTreeMap::new();
     let mut arrivals: Vec<Arrival> =
         fleet.hosts.iter().flat_map(|host| host.arrivals.borrow().clone()).collect();
+    arrivals.retain(|arrival| !arrival.id.starts_with(CROWD_ID_PREFIX));
     arrivals.sort_by_key(|arrival| arrival.at);
     for arrival in &arrivals {
         let Some(record) = record_by_id.get(arrival.id.as_str()) else {
@@ -180,6 +186,31 @@
     }
 }
 
+/// A write that a crowd sends again after its client has left reaches a host once at most, but for attempts
+/// that were rejected: a replica is no primary.
+fn check_crowds(fleet: &Fleet, violations: &mut Vec<String>) {
+    let mut writes: BTreeMap<String, usize> = BTreeMap::new();
+    for host in fleet.hosts.iter().filter(|host| host.is_primary.get()) {
+        let arrivals = host.arrivals.borrow();
+        let own = arrivals.iter().filter(|arrival| arrival.id.starts_with(CROWD_ID_PREFIX));
+        own.filter(|arrival| arrival.key.is_some())
+            .for_each(|arrival| *writes.entry(arrival.id.clone()).or_default() += 1);
+    }
+    for (id, count) in writes.iter().filter(|(_, count)| **count > 1) {
+        violations.push(format!("sent {count} times: {id}"));
+    }
+}
+
+/// A gateway over its limit on memory is killed.
+fn check_memory(fleet: &Fleet, violations: &mut Vec<String>) {
+    for gateway in &fleet.gateways {
+        let (peak, limit) = (gateway.peak_memory.get(), fleet.plan.memory_mb * BYTES_PER_MIB);
+        if peak > limit {
+            violations.push(format!("memory: gateway {} needed {peak} of {limit} bytes", gateway.number));
+        }
+    }
+}
+
 /// Counts of the requests by outcome, and the busiest slow start.
 pub fn summary(fleet: &Fleet) -> String {
     let records = fleet.request_log.records.borrow();
@@ -187,7 +218,7 @@
     let worst = busiest_windows(fleet).into_iter().max_by(|a, b| a.load.total_cmp(&b.load));
     format!(
         "requests {}, served {}, rejected {}, failed {}, not accepted {}, disconnected {}, lost {}, \
-         busiest slow start {worst:.2?}",
+         memory {} KiB, busiest slow start {worst:.2?}",
         records.len(),
         count(|outcome| *outcome == Outcome::Served),
         count(|outcome| matches!(outcome, Outcome::Rejected(_))),
@@ -195,5 +226,6 @@
         count(|outcome| *outcome == Outcome::NotAccepted),
         count(|outcome| *outcome == Outcome::Disconnected),
         count(|outcome| matches!(outcome, Outcome::Lost(_))),
+        fleet.gateways.iter().map(|gateway| gateway.peak_memory.get()).max().unwrap_or(0) / 1024,
     )
 }
--- a/tests/faulty_fleet/mod.rs
+++ b/tests/faulty_fleet/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod classes;
 pub mod clients;
+pub mod crowds;
 pub mod gateways;
 pub mod hosts;
 pub mod invariants;
@@ -84,6 +85,9 @@
     pub granularity: Duration,
     /// How far the hosts' wall clock is ahead of the gateways' (milliseconds).
     pub hosts_ahead_ms: i64,
+    /// Limits of each gateway: memory (MiB) and descriptors.
+    pub memory_mb: usize,
+    pub descriptors: usize,
     pub seed: u64,
 }
 
@@ -120,6 +124,9 @@
         for gateway in &gateways {
             gateway.until_ready().await;
         }
+        for gateway in &gateways {
+            tokio::task::spawn_local(crowds::watch_memory(gateway.clone()));
+        }
         let load = Rc::new(Cell::new(plan.load));
         let request_log = Rc::new(RequestLog::default());
         let new_clients = |gateway: &Rc<FleetGateway>| {
--- a/tests/faulty_fleet/schedule.rs
+++ b/tests/faulty_fleet/schedule.rs
@@ -2,6 +2,7 @@
 //! seed samples it again.
 
 use super::classes::{LONGEST_DEADLINE, VARIANTS};
+use super::crowds::{self, Form};
 use super::hosts::Mode;
 use super::orders::{AfterStatement, SLOW_EXECUTION_TIME};
 use super::{index_below, uniform, Fleet, Plan};
@@ -34,6 +35,10 @@
 const ORDERS_OF_GATEWAY: usize = 3;
 /// Time between two of them (milliseconds).
 const ORDER_INTERVAL: u64 = 30;
+/// Number of crowds in a schedule of crowds, from one to the next, and how long each stays (milliseconds).
+const CROWDS: u64 = 4;
+const CROWD_INTERVAL: u64 = 6_000;
+const CROWD_SPAN: u64 = 2_000;
 /// How long a gateway stays stopped by SIGSTOP (milliseconds).
 const STALL_SPAN: u64 = 120;
 /// Time from the drain of a host to the start of its replacement (milliseconds).
@@ -70,6 +75,8 @@
     Burst { factor: f64, span: u64 },
     /// Idle client connections use up the descriptors of a gateway.
     IdleConnections { gateway: usize, span: u64 },
+    /// A crowd of misbehaving clients at the first gateway, for `span` after all of them have connected.
+    Crowd { form: Form, number: u64, span: u64 },
 }
 
 /// A fault and its start time (milliseconds after the start of the schedule).
@@ -104,6 +111,8 @@
             slow_start,
             granularity: Duration::from_millis(5),
             hosts_ahead_ms: [0, 0, 0, 3_600_000, -3_600_000][index_below(&mut rng, 5)],
+            memory_mb: 192,
+            descriptors: 512,
             seed,
         };
         let count = sample_count(&mut rng, &FAULTS);
@@ -129,6 +138,8 @@
             // Long enough that a SIGHUP right behind an answer comes before the next step.
             granularity: Duration::from_millis(50),
             hosts_ahead_ms: 0,
+            memory_mb: 192,
+            descriptors: 512,
             seed,
         };
         let mut sample = |change: u64| {
@@ -144,6 +155,33 @@
         Schedule { plan, steps }
     }
 
+    /// Samples one gateway at the smallest limits, with a crowd of misbehaving clients after another.
+    pub fn sample_crowds(seed: u64) -> Schedule {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let plan = Plan {
+            gateways: 1,
+            hosts: 5,
+            load: 0.1 + 0.1 * uniform(&mut rng),
+            long_share: 0.03,
+            slow_start: SlowStart::DEFAULT,
+            granularity: Duration::from_millis(5),
+            hosts_ahead_ms: 0,
+            memory_mb: 32,
+            descriptors: 1024,
+            seed,
+        };
+        let mut sample = |number: u64| {
+            // Each schedule has the form that holds the most memory.
+            let form = if number == 0 { Form::Commands } else { crowds::sample_form(&mut rng) };
+            Step {
+                at: WARM_UP + number * CROWD_INTERVAL,
+                fault: Fault::Crowd { form, number, span: CROWD_SPAN },
+            }
+        };
+        let steps = (0..CROWDS).map(&mut sample).collect();
+        Schedule { plan, steps }
+    }
+
     /// Injects the faults at their times.
     pub async fn run(self, fleet: Rc<Fleet>) {
         let started = fleet.clock.now();
@@ -241,6 +279,7 @@
         Fault::ChangeSettings { first, pause, second } => {
             change_settings(&fleet, first, pause, second).await;
         }
+        Fault::Crowd { form, number, span } => crowds::run_crowd(fleet, 0, form, number, span).await,
         Fault::DiscoveryOutage { state, span } => {
             fleet.list.set_state(state);
             fleet.wait(span).await;
@@ -251,15 +290,18 @@
             fleet.wait(span).await;
             fleet.load.set(fleet.plan.load);
         }
-        Fault::IdleConnections { gateway, span } => {
-            let mut idle = Vec::new();
-            for _ in 0..IDLE_CONNECTIONS {
-                let connect = TcpStream::connect(fleet.gateways[gateway].process.listen);
-                idle.extend(timeout(CONNECT_TIMEOUT, connect).await.into_iter().flatten());
-            }
-            fleet.wait(span).await;
-        }
+        Fault::IdleConnections { gateway, span } => hold_idle_connections(&fleet, gateway, span).await,
+    }
+}
+
+/// Holds idle client connections to a gateway for `span` milliseconds.
+async fn hold_idle_connections(fleet: &Fleet, gateway: usize, span: u64) {
+    let mut idle = Vec::new();
+    for _ in 0..IDLE_CONNECTIONS {
+        let connect = TcpStream::connect(fleet.gateways[gateway].process.listen);
+        idle.extend(timeout(CONNECT_TIMEOUT, connect).await.into_iter().flatten());
     }
+    fleet.wait(span).await;
 }
 
 /// Changes the settings before and after orders are sent behind slow statements. Each answer to a statement is
--- a/tests/slow_start_fleet.rs
+++ b/tests/slow_start_fleet.rs
@@ -32,6 +32,8 @@
             slow_start: SLOW_START,
             granularity: Duration::from_millis(5),
             hosts_ahead_ms: 0,
+            memory_mb: 192,
+            descriptors: 512,
             seed,
         };
         let fleet = run_fleet(plan, |fleet| async move {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -56,6 +56,12 @@
     run_seeds(Schedule::sample_changes);
 }
 
+// Issue 59: a gateway with 32 MB was killed beside hundreds of clients that sent hundreds of commands at once.
+#[test]
+fn fleets_keep_the_invariants_beside_crowds_of_clients() {
+    run_seeds(Schedule::sample_crowds);
+}
+
 /// Runs the schedules of all seeds, some of them beside each other.
 fn run_seeds(sample: fn(u64) -> Schedule) {
     let concurrency = std::env::var("SOAK_BESIDE")
