--- a/crates/lifecycle/tests/read_ahead.rs
+++ b/crates/lifecycle/tests/read_ahead.rs
@@ -33,6 +33,16 @@
     assert_eq!(ahead.message_bytes(), MAX_BYTES / 2);
 }
 
+// The bound covers parsed and unparsed bytes together, whoever accounts for their memory.
+#[test]
+fn unparsed_bytes_count_against_the_byte_bound() {
+    let mut ahead = queued(1, MAX_BYTES / 2, 1_000);
+    ahead.on_read(2_000, MAX_BYTES / 2, usize::MAX);
+    assert_eq!((ahead.allowance(), ahead.message_bytes()), (0, MAX_BYTES / 2));
+    ahead.set_unparsed_bytes(0);
+    assert_eq!(ahead.allowance(), MAX_BYTES / 2);
+}
+
 // A connection whose request is open frees memory by itself, whoever accounts for its statement.
 #[test]
 fn a_message_that_was_handed_over_is_still_being_handled() {
--- a/src/resources/budget/memory.rs
+++ b/src/resources/budget/memory.rs
@@ -20,7 +20,7 @@
     pub used_bytes: usize,
     /// The most that they have held at one time.
     pub peak_bytes: usize,
-    /// The limit.
+    /// The most that they may hold, beyond what each connection may hold in any case.
     pub max_bytes: usize,
 }
 
--- a/tests/crowds/left_clients.rs
+++ b/tests/crowds/left_clients.rs
@@ -94,6 +94,7 @@
             );
             assert_eq!(late, 0, "{how:?}: {delays:?}");
             assert_eq!(stage.usual.unanswered.get(), 0, "{how:?}: {}", stage.usual);
+            assert_eq!(stage.usual.closed_under_request.get(), 0, "{how:?}: {}", stage.usual);
             std::io::Result::Ok(())
         })
         .expect("the crowd runs");
